--- /dev/null
+++ b/internal/model/model.go
@@ -0,0 +1,127 @@
+// Package model holds the plain types that name the parts of a deployment.
+// It has no behaviour beyond parsing, printing and hashing of these names.
+package model
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Zone names an availability zone, as in "gauteng-a".
+type Zone string
+
+// Tag returns a short hash of the zone that fits a connection ID.
+func (z Zone) Tag() ZoneTag {
+	return ZoneTag(xxhash.Sum64String(string(z)))
+}
+
+// ZoneTag is the 16-bit hash of a zone name. Settings that name two zones with
+// the same tag are refused.
+type ZoneTag uint16
+
+// Service names one service, as in "memberdesk".
+type Service string
+
+// Tag returns a short hash of the service that fits a connection ID.
+func (s Service) Tag() ServiceTag {
+	return ServiceTag(xxhash.Sum64String(string(s)))
+}
+
+// ServiceTag is the 32-bit hash of a service name. Settings that name two
+// services with the same tag are refused.
+type ServiceTag uint32
+
+// Customer names one customer: a member, a tour desk or a visitor.
+type Customer string
+
+// NodeID names one process of the system. It is unique in a deployment and
+// stays the same when the process restarts on the same VM.
+type NodeID string
+
+// Role tells what a node does.
+type Role uint8
+
+// The roles of nodes.
+const (
+	RoleBalancer Role = 1
+	RoleAgent    Role = 2
+)
+
+// String returns the name of the role used in logs and tables.
+func (r Role) String() string {
+	switch r {
+	case RoleBalancer:
+		return "balancer"
+	case RoleAgent:
+		return "agent"
+	default:
+		return fmt.Sprintf("role(%d)", uint8(r))
+	}
+}
+
+// Revision numbers the accepted versions of one document. The first accepted
+// version is 1; 0 means that no version is known.
+type Revision uint64
+
+// DocumentKind names one of the operators' documents.
+type DocumentKind uint8
+
+// The operators' documents.
+const (
+	// DocumentCustomers lists the customers with their plans.
+	DocumentCustomers DocumentKind = 0
+	// DocumentPlans lists the plans with their allowances.
+	DocumentPlans DocumentKind = 1
+	// DocumentOut lists the zones and targets that are out of service.
+	DocumentOut DocumentKind = 2
+	// DocumentCount is the number of document kinds.
+	DocumentCount = 3
+)
+
+// String returns the name of the document used in keys, logs and commands.
+func (k DocumentKind) String() string {
+	switch k {
+	case DocumentCustomers:
+		return "customers"
+	case DocumentPlans:
+		return "plans"
+	case DocumentOut:
+		return "out"
+	default:
+		return fmt.Sprintf("document(%d)", uint8(k))
+	}
+}
+
+// Revisions holds the revision of each document, indexed by DocumentKind.
+type Revisions [DocumentCount]Revision
+
+// Covers reports whether r is at least as new as other in every document.
+func (r Revisions) Covers(other Revisions) bool {
+	for i := range r {
+		if r[i] < other[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Merge returns the newer revision of each document.
+func (r Revisions) Merge(other Revisions) Revisions {
+	for i := range r {
+		r[i] = max(r[i], other[i])
+	}
+	return r
+}
+
+// Instant is a reading of a monotonic clock: the time since an arbitrary start
+// that is the same for all readings in one process. Pure decision code takes
+// Instants instead of reading a clock.
+type Instant time.Duration
+
+// Add returns the instant d after i.
+func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+
+// Sub returns the duration between other and i.
+func (i Instant) Sub(other Instant) time.Duration { return time.Duration(i - other) }
--- /dev/null
+++ b/internal/plan/types.go
@@ -0,0 +1,63 @@
+// Package plan holds the operators' documents: the customers with their plans,
+// the plans with their allowances, and what is out of service. It is pure.
+package plan
+
+import (
+	"github.com/shopspring/decimal"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// Customers is the list of customers with their plans.
+type Customers struct {
+	Customers []Customer `json:"customers"`
+}
+
+// Customer is one customer and the plan that it is on.
+type Customer struct {
+	Name model.Customer `json:"name"`
+	Plan Name           `json:"plan"`
+	// CredentialSHA256 holds the hex SHA-256 hashes of the bearer tokens that
+	// the customer's callers present.
+	CredentialSHA256 []string `json:"credential_sha256"`
+}
+
+// Name names a plan.
+type Name string
+
+// Plans is the list of plans.
+type Plans struct {
+	// Currency is the ISO 4217 code of all prices in the list.
+	Currency string `json:"currency"`
+	Plans    []Plan `json:"plans"`
+}
+
+// Plan is what its customers may use and what it costs.
+type Plan struct {
+	Name Name `json:"name"`
+	// MonthlyFee is billed whatever is used.
+	MonthlyFee decimal.Decimal `json:"monthly_fee"`
+	Allowances []Allowance     `json:"allowances"`
+}
+
+// Allowance is what a plan allows of one service. A service without an
+// allowance may not be used.
+type Allowance struct {
+	Service           model.Service `json:"service"`
+	RequestsPerSecond float64       `json:"requests_per_second"`
+	// Burst is the number of requests that may come at once after a quiet time.
+	Burst uint32 `json:"burst"`
+	// InFlight is the number of requests that may be open at once.
+	InFlight uint32 `json:"in_flight"`
+	// UnitsPerMonth is the number of requests that may be served in one
+	// calendar month, in UTC.
+	UnitsPerMonth uint64 `json:"units_per_month"`
+	// UnitPrice is billed for each request that was served.
+	UnitPrice decimal.Decimal `json:"unit_price"`
+}
+
+// Out lists what operators have taken out of service.
+type Out struct {
+	Zones   []model.Zone   `json:"zones"`
+	Targets []model.NodeID `json:"targets"`
+}
