--- /dev/null
+++ b/internal/standin/answer/answer_test.go
@@ -0,0 +1,18 @@
+package answer
+
+import (
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestBodyDependsOnTheNonceAlone(t *testing.T) {
+	first, err := io.ReadAll(Body("a", 1000))
+	require.NoError(t, err)
+	again, _ := io.ReadAll(Body("a", 1000))
+	other, _ := io.ReadAll(Body("b", 1000))
+	require.Len(t, first, 1000)
+	require.Equal(t, first, again)
+	require.NotEqual(t, first, other)
+}
