Steer sprayed datagrams: balancer traffic, agent front, stand-in fabric, load

Cause: the thin whole path needs its data plane. Change: authenticated msgpack datagrams, connection IDs that name their agent, a weighted Maglev table, the choice between two agents by their exact loads, the balancer's traffic threads, the agent's QUIC front, the fabric edge with a PROXY v2 plug-in, a stand-in fabric and a checking load tool. Ruled out: a MAC over the payload (QUIC protects it; twice the cost), PROXY parsing by the library on the packet path (it allocates; it is the oracle of the codec's test instead).

--- /dev/null
+++ b/internal/agent/front.go
@@ -0,0 +1,227 @@
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/balsamlink/balsamlink/internal/keys"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/steering"
+)
+
+const (
+	// maxIdleTime is how long a flow without any packet stays open.
+	maxIdleTime = 30 * time.Second
+	// handshakeIdleTime is how long a handshake without any packet stays open.
+	handshakeIdleTime = 5 * time.Second
+	// maxStreams bounds the open requests of one flow.
+	maxStreams = 100
+	// The receive windows of a stream and of a flow, in bytes.
+	streamWindow = 512 << 10
+	flowWindow   = 1 << 20
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 16 << 10
+	// closeTime is how long a flow's close may take to leave the socket.
+	closeTime = 100 * time.Millisecond
+)
+
+// ZoneOutCode is the HTTP/3 error code with which flows are given up when
+// operators take their zone out of service (H3_REQUEST_REJECTED: the caller may
+// send the request again).
+const ZoneOutCode = quic.ApplicationErrorCode(http3.ErrCodeRequestRejected)
+
+// Requests serves the requests of callers.
+type Requests interface {
+	http.Handler
+	Flows
+}
+
+// FrontConfig is what a Front is made of.
+type FrontConfig struct {
+	Data    netip.AddrPort
+	Zone    model.Zone
+	Service model.Service
+	Shared  keys.Shared
+	// Certificate returns the service's certificate for each handshake.
+	Certificate func(*tls.ClientHelloInfo) (*tls.Certificate, error)
+	Requests    Requests
+}
+
+// Front ends the callers' QUIC connections.
+type Front struct {
+	config    FrontConfig
+	conn      *packetConn
+	transport *quic.Transport
+	listener  *quic.EarlyListener
+	server    *http3.Server
+	open      atomic.Int64
+	// flows holds the open connections: *quic.Conn to *flow.
+	flows sync.Map
+}
+
+// NewFront opens the agent's data socket. Serve starts the work.
+func NewFront(config FrontConfig) (*Front, error) {
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(config.Data))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	bound := socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	place := steering.Place{Agent: unmap(bound), Zone: config.Zone.Tag(), Service: config.Service.Tag()}
+	front := &Front{config: config, conn: newPacketConn(socket, config.Shared.Datagram[:], place, config.Requests)}
+	if err := front.openTransport(place); err != nil {
+		socket.Close()
+		return nil, err
+	}
+	front.server = &http3.Server{
+		Handler:        http.HandlerFunc(front.serveHTTP),
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnContext:    front.connContext,
+	}
+	return front, nil
+}
+
+// Addr returns the data address.
+func (f *Front) Addr() netip.AddrPort {
+	return unmap(f.conn.socket.LocalAddr().(*net.UDPAddr).AddrPort())
+}
+
+// Serve accepts flows until Close or Drain has ended.
+func (f *Front) Serve() error {
+	err := f.server.ServeListener(f.listener)
+	if err == http.ErrServerClosed || err == quic.ErrServerClosed {
+		return nil
+	}
+	return Error.Wrap(err)
+}
+
+// SetOut tells what operators have taken out of service. A zone that is out has
+// its flows given up at once.
+func (f *Front) SetOut(zoneOut bool, revision model.Revision) {
+	f.conn.revision.Store(uint64(revision))
+	if f.conn.zoneOut.Swap(zoneOut) || !zoneOut {
+		return
+	}
+	f.closeFlows()
+}
+
+// Drain asks the callers to end their flows and returns when all have ended, or
+// with an error when the context has. What is still open then is given up.
+func (f *Front) Drain(ctx context.Context) error {
+	err := f.server.Shutdown(ctx)
+	time.Sleep(closeTime)
+	return Error.Wrap(err)
+}
+
+// Close gives up all flows and closes the socket.
+func (f *Front) Close() error {
+	f.server.Close()
+	err := f.transport.Close()
+	f.conn.socket.Close()
+	return Error.Wrap(err)
+}
+
+// OpenFlows returns the number of open flows.
+func (f *Front) OpenFlows() int64 { return f.open.Load() }
+
+func (f *Front) openTransport(place steering.Place) error {
+	sealer, err := steering.NewSealer(f.config.Shared.ConnectionID[:])
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	var seed [5]byte
+	rand.Read(seed[:])
+	start := binary.BigEndian.Uint32(seed[:4])
+	reset := quic.StatelessResetKey(f.config.Shared.Reset)
+	f.transport = &quic.Transport{
+		Conn:                  f.conn,
+		ConnectionIDGenerator: idGenerator{steering.NewIssuer(sealer, place, start, randomOctet)},
+		StatelessResetKey:     &reset,
+	}
+	f.listener, err = f.transport.ListenEarly(f.tlsConfig(), &quic.Config{
+		HandshakeIdleTimeout:           handshakeIdleTime,
+		MaxIdleTimeout:                 maxIdleTime,
+		MaxIncomingStreams:             maxStreams,
+		InitialStreamReceiveWindow:     streamWindow,
+		MaxStreamReceiveWindow:         streamWindow,
+		InitialConnectionReceiveWindow: flowWindow,
+		MaxConnectionReceiveWindow:     flowWindow,
+		DisablePathMTUDiscovery:        true,
+		Allow0RTT:                      false,
+	})
+	return Error.Wrap(err)
+}
+
+func (f *Front) tlsConfig() *tls.Config {
+	return http3.ConfigureTLSConfig(&tls.Config{
+		MinVersion:     tls.VersionTLS13,
+		GetCertificate: f.config.Certificate,
+	})
+}
+
+type flowKey struct{}
+
+// flow is what the agent notes of one QUIC connection.
+type flow struct {
+	conn *quic.Conn
+	used atomic.Bool
+}
+
+func (f *Front) connContext(ctx context.Context, conn *quic.Conn) context.Context {
+	state := &flow{conn: conn}
+	f.open.Add(1)
+	f.flows.Store(conn, state)
+	context.AfterFunc(conn.Context(), func() {
+		f.open.Add(-1)
+		f.flows.Delete(conn)
+	})
+	return context.WithValue(ctx, flowKey{}, state)
+}
+
+func (f *Front) closeFlows() {
+	f.flows.Range(func(conn, _ any) bool {
+		conn.(*quic.Conn).CloseWithError(ZoneOutCode, "availability zone is out of service")
+		return true
+	})
+}
+
+func (f *Front) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	state, known := r.Context().Value(flowKey{}).(*flow)
+	if known && !state.used.Swap(true) {
+		f.conn.requestStarted()
+	}
+	f.config.Requests.ServeHTTP(w, r)
+}
+
+func randomOctet() byte {
+	var octet [1]byte
+	rand.Read(octet[:])
+	return octet[0]
+}
+
+// idGenerator makes an Issuer fit QUIC.
+type idGenerator struct {
+	issuer *steering.Issuer
+}
+
+// GenerateConnectionID implements quic.ConnectionIDGenerator.
+func (g idGenerator) GenerateConnectionID() (quic.ConnectionID, error) {
+	id, err := g.issuer.Next()
+	if err != nil {
+		return quic.ConnectionID{}, Error.Wrap(err)
+	}
+	return quic.ConnectionIDFromBytes(id[:]), nil
+}
+
+// ConnectionIDLen implements quic.ConnectionIDGenerator.
+func (g idGenerator) ConnectionIDLen() int { return steering.ConnectionIDSize }
--- /dev/null
+++ b/internal/agent/packetconn.go
@@ -0,0 +1,264 @@
+// Package agent is the process beside each target: the only door to it. It ends
+// the callers' QUIC connections and hands their requests to the request layer.
+package agent
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/steering"
+	"github.com/balsamlink/balsamlink/internal/wire"
+)
+
+// Error is the class of all errors of this layer.
+var Error = errs.Class("agent")
+
+// Drop names a reason for which the agent drops a datagram.
+type Drop uint8
+
+// The reasons, in the order of the counters.
+const (
+	DropMalformed Drop = iota
+	DropForged
+	DropWrongService
+	DropZoneOut
+	DropNoRoom
+	DropTooLarge
+	DropSendFailed
+	dropCount
+)
+
+// String returns the reason as it stands in metrics.
+func (d Drop) String() string {
+	names := [dropCount]string{"malformed", "forged", "wrong_service", "zone_out", "no_room", "too_large", "send_failed"}
+	return names[d]
+}
+
+// Flows tells the packet connection how busy the target is.
+type Flows interface {
+	Occupancy() steering.Occupancy
+}
+
+// packetConn is the net.PacketConn under the agent's QUIC endpoint. It shows
+// QUIC the callers' own addresses and hides the balancers.
+type packetConn struct {
+	socket  *net.UDPConn
+	service model.ServiceTag
+	zone    model.ZoneTag
+	flows   Flows
+	// zoneOut is true while operators have the agent's zone out of service.
+	zoneOut  atomic.Bool
+	revision atomic.Uint64
+
+	// The reader alone uses these.
+	readCodec *wire.Codec
+	buffer    [wire.MaxDatagram + 1]byte
+
+	mu         sync.Mutex
+	writeCodec *wire.Codec
+	egress     *egress
+	chooser    *steering.Chooser
+
+	received [wire.KindCount]atomic.Uint64
+	handed   atomic.Uint64
+	returned atomic.Uint64
+	dropped  [dropCount]atomic.Uint64
+	answers  atomic.Uint64
+}
+
+func newPacketConn(socket *net.UDPConn, key []byte, place steering.Place, flows Flows) *packetConn {
+	return &packetConn{
+		socket:     socket,
+		service:    place.Service,
+		zone:       place.Zone,
+		flows:      flows,
+		readCodec:  wire.NewCodec(key),
+		writeCodec: wire.NewCodec(key),
+		egress:     newEgress(),
+		chooser:    steering.NewChooser(),
+	}
+}
+
+// ReadFrom implements net.PacketConn: it returns the next packet for QUIC with
+// the address of its caller.
+func (c *packetConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	for {
+		n, from, err := c.socket.ReadFromUDPAddrPort(c.buffer[:])
+		if err != nil {
+			return 0, nil, err
+		}
+		caller, payload, deliver := c.receive(unmap(from), c.buffer[:n])
+		if !deliver {
+			continue
+		}
+		return copy(p, payload), net.UDPAddrFromAddrPort(caller), nil
+	}
+}
+
+func (c *packetConn) receive(from netip.AddrPort, datagram []byte) (netip.AddrPort, []byte, bool) {
+	header, payload, err := c.readCodec.Decode(datagram)
+	if reason, bad := c.check(header, err); bad {
+		c.dropped[reason].Add(1)
+		return netip.AddrPort{}, nil, false
+	}
+	c.received[header.Kind].Add(1)
+	now := model.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	via := from
+	if header.Via.IsValid() {
+		via = header.Via
+	}
+	c.egress.hear(now, via)
+	if header.Kind.First() && !c.takes(now, from, via, header, payload) {
+		return netip.AddrPort{}, nil, false
+	}
+	return header.Caller, payload, true
+}
+
+func (c *packetConn) check(header wire.Header, err error) (Drop, bool) {
+	switch {
+	case errors.Is(err, wire.ErrForged):
+		return DropForged, true
+	case err != nil || header.Kind == wire.KindAnswer:
+		return DropMalformed, true
+	case header.Service != c.service:
+		return DropWrongService, true
+	case c.zoneOut.Load() && header.Kind != wire.KindEstablished:
+		return DropZoneOut, true
+	}
+	return 0, false
+}
+
+// takes decides whether a packet of a new flow is delivered here. If not, it
+// sends the packet to where the choice says. The caller holds the lock.
+func (c *packetConn) takes(now model.Instant, from, via netip.AddrPort, header wire.Header, payload []byte) bool {
+	id, form := steering.DestinationID(payload)
+	if form != steering.FormLong {
+		c.dropped[DropMalformed].Add(1)
+		return false
+	}
+	choice := c.chooser.Decide(now, firstPacket(id, from, header), c.flows.Occupancy())
+	switch choice.Action {
+	case steering.TakeFlow:
+		return true
+	case steering.HandFlow:
+		c.handed.Add(1)
+		c.pass(choice, wire.KindHanded, via, header, payload)
+	case steering.ReturnFlow:
+		c.returned.Add(1)
+		c.pass(choice, wire.KindFinal, via, header, payload)
+	case steering.DropFlow:
+		c.dropped[DropNoRoom].Add(1)
+	}
+	return false
+}
+
+func firstPacket(id []byte, from netip.AddrPort, header wire.Header) steering.FirstPacket {
+	packet := steering.FirstPacket{
+		ID:        string(id),
+		Offer:     steering.OfferChoice,
+		From:      from,
+		FromLoad:  header.Load,
+		Alternate: header.Alternate,
+	}
+	switch header.Kind {
+	case wire.KindHanded:
+		packet.Offer = steering.OfferHanded
+	case wire.KindFinal:
+		packet.Offer = steering.OfferFinal
+	}
+	return packet
+}
+
+func (c *packetConn) pass(choice steering.Choice, kind wire.Kind, via netip.AddrPort, header wire.Header, payload []byte) {
+	header.Kind = kind
+	header.Load = choice.Load
+	header.Via = via
+	header.Alternate = netip.AddrPort{}
+	header.Zone = c.zone
+	c.send(choice.To, header, payload)
+}
+
+// WriteTo implements net.PacketConn: it sends a packet of QUIC to a caller
+// through one of the balancers heard from lately.
+func (c *packetConn) WriteTo(p []byte, addr net.Addr) (int, error) {
+	udp, ok := addr.(*net.UDPAddr)
+	if !ok {
+		return 0, Error.New("address %v is not a UDP address", addr)
+	}
+	if len(p) > wire.MaxPayload {
+		c.dropped[DropTooLarge].Add(1)
+		return len(p), nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	balancer := c.egress.pick(model.Now())
+	if !balancer.IsValid() {
+		c.dropped[DropSendFailed].Add(1)
+		return len(p), nil
+	}
+	header := wire.Header{
+		Kind:     wire.KindAnswer,
+		Service:  c.service,
+		Caller:   unmap(udp.AddrPort()),
+		Revision: model.Revision(c.revision.Load()),
+		Zone:     c.zone,
+	}
+	c.answers.Add(1)
+	c.send(balancer, header, p)
+	return len(p), nil
+}
+
+// send encodes and sends a datagram. A failure counts as a lost packet, which
+// QUIC makes good. The caller holds the lock.
+func (c *packetConn) send(to netip.AddrPort, header wire.Header, payload []byte) {
+	datagram, err := c.writeCodec.Encode(header, payload)
+	if err != nil {
+		c.dropped[DropTooLarge].Add(1)
+		return
+	}
+	if _, err := c.socket.WriteToUDPAddrPort(datagram, to); err != nil {
+		c.dropped[DropSendFailed].Add(1)
+	}
+}
+
+// requestStarted tells that a flow has sent a request.
+func (c *packetConn) requestStarted() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.chooser.RequestStarted()
+}
+
+// Close implements net.PacketConn.
+func (c *packetConn) Close() error { return Error.Wrap(c.socket.Close()) }
+
+// LocalAddr implements net.PacketConn.
+func (c *packetConn) LocalAddr() net.Addr { return c.socket.LocalAddr() }
+
+// SetDeadline implements net.PacketConn.
+func (c *packetConn) SetDeadline(t time.Time) error { return c.socket.SetDeadline(t) }
+
+// SetReadDeadline implements net.PacketConn.
+func (c *packetConn) SetReadDeadline(t time.Time) error { return c.socket.SetReadDeadline(t) }
+
+// SetWriteDeadline implements net.PacketConn.
+func (c *packetConn) SetWriteDeadline(t time.Time) error { return c.socket.SetWriteDeadline(t) }
+
+// SetReadBuffer sets the size of the socket's receive buffer, in bytes. QUIC
+// uses it when it is there.
+func (c *packetConn) SetReadBuffer(bytes int) error { return c.socket.SetReadBuffer(bytes) }
+
+// SetWriteBuffer sets the size of the socket's send buffer, in bytes.
+func (c *packetConn) SetWriteBuffer(bytes int) error { return c.socket.SetWriteBuffer(bytes) }
+
+func unmap(addr netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
+}
--- /dev/null
+++ b/internal/fabric/proxyv2/proxyv2.go
@@ -0,0 +1,53 @@
+package proxyv2
+
+import (
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/balsamlink/balsamlink/internal/fabric"
+	"github.com/balsamlink/balsamlink/internal/wire"
+)
+
+// ProxyV2 exchanges datagrams with a fabric that speaks the PROXY protocol.
+type ProxyV2 struct {
+	settings Settings
+	socket   *net.UDPConn
+	trusted  map[netip.AddrPort]struct{}
+	next     atomic.Uint32
+}
+
+// Receive implements fabric.Fabric.
+func (p *ProxyV2) Receive(buffer []byte) (fabric.Packet, error) {
+	n, from, err := p.socket.ReadFromUDPAddrPort(buffer)
+	if err != nil {
+		return fabric.Packet{}, err
+	}
+	if _, trusted := p.trusted[unmap(from)]; !trusted {
+		return fabric.Packet{}, fabric.ErrUntrusted
+	}
+	header, payload, err := wire.ParseProxy(buffer[:n])
+	if err != nil {
+		return fabric.Packet{}, fabric.ErrMalformed
+	}
+	return fabric.Packet{Caller: header.Source, Service: header.Destination, Payload: payload}, nil
+}
+
+// Send implements fabric.Fabric. Answers are spread over the fabric's addresses.
+func (p *ProxyV2) Send(packet fabric.Packet, scratch []byte) error {
+	header := wire.ProxyHeader{Source: packet.Service, Destination: packet.Caller}
+	datagram := wire.AppendProxy(scratch[:0], header)
+	datagram = append(datagram, packet.Payload...)
+	to := p.settings.Fabric[int(p.next.Add(1))%len(p.settings.Fabric)]
+	_, err := p.socket.WriteToUDPAddrPort(datagram, to)
+	return err
+}
+
+// Addr returns the address that the fabric sends to.
+func (p *ProxyV2) Addr() netip.AddrPort {
+	return unmap(p.socket.LocalAddr().(*net.UDPAddr).AddrPort())
+}
+
+func unmap(addr netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
+}
--- /dev/null
+++ b/internal/fabric/proxyv2/setup.go
@@ -0,0 +1,80 @@
+// Package proxyv2 is the fabric plug-in for fabrics that put a PROXY protocol
+// version 2 header before each datagram.
+package proxyv2
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+
+	"github.com/balsamlink/balsamlink/internal/fabric"
+	"github.com/balsamlink/balsamlink/internal/kernel"
+)
+
+// Name is the name of the plug-in in the settings.
+const Name = "proxyv2"
+
+// socketBuffer is the size of the socket's buffers, in bytes.
+const socketBuffer = 4 << 20
+
+// Settings are the plug-in's settings.
+type Settings struct {
+	// Listen is the UDP address that the fabric sends to.
+	Listen netip.AddrPort `json:"listen"`
+	// Fabric are the UDP addresses that answers go to and that datagrams may
+	// come from.
+	Fabric []netip.AddrPort `json:"fabric"`
+}
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Edge: kernel.EdgeFabric,
+		Name: Name,
+		New:  func() kernel.Module { return &ProxyV2{} },
+	})
+}
+
+// Provision implements kernel.Module.
+func (p *ProxyV2) Provision(_ kernel.Env, settings json.RawMessage) error {
+	return fabric.Error.Wrap(json.Unmarshal(settings, &p.settings))
+}
+
+// Validate implements kernel.Module.
+func (p *ProxyV2) Validate() error {
+	if !p.settings.Listen.IsValid() {
+		return fabric.Error.New("listen: an IP address and port is needed")
+	}
+	if len(p.settings.Fabric) == 0 {
+		return fabric.Error.New("fabric: at least one address is needed")
+	}
+	return nil
+}
+
+// Start implements kernel.Module.
+func (p *ProxyV2) Start(context.Context) error {
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(p.settings.Listen))
+	if err != nil {
+		return fabric.Error.Wrap(err)
+	}
+	socket.SetReadBuffer(socketBuffer)
+	socket.SetWriteBuffer(socketBuffer)
+	p.socket = socket
+	p.trusted = map[netip.AddrPort]struct{}{}
+	for _, addr := range p.settings.Fabric {
+		p.trusted[addr] = struct{}{}
+	}
+	return nil
+}
+
+// Drain implements kernel.Module. The fabric stops by itself once the process
+// is not ready.
+func (p *ProxyV2) Drain(context.Context) error { return nil }
+
+// Stop implements kernel.Module.
+func (p *ProxyV2) Stop() error {
+	if p.socket == nil {
+		return nil
+	}
+	return fabric.Error.Wrap(p.socket.Close())
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,171 @@
+package load
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+const (
+	callerIdleTime   = 30 * time.Second
+	callerKeepAlive  = 5 * time.Second
+	handshakeTimeout = 5 * time.Second
+)
+
+// Run sends requests as the configuration says and returns their record. It
+// returns early when the context ends; requests in flight end first.
+func Run(ctx context.Context, config Config, progress func(*Recorder)) (*Recorder, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	recorder := newRecorder()
+	stop := make(chan struct{})
+	var reporting, callers sync.WaitGroup
+	if progress != nil {
+		reporting.Go(func() { report(recorder, progress, stop) })
+	}
+	start := time.Now()
+	for number := range config.Feeds + config.Files + config.Bookings {
+		caller := newCaller(config, recorder, number, start)
+		callers.Go(func() { caller.run(ctx) })
+	}
+	callers.Wait()
+	close(stop)
+	reporting.Wait()
+	return recorder, nil
+}
+
+const progressInterval = time.Second
+
+func report(recorder *Recorder, progress func(*Recorder), stop chan struct{}) {
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			progress(recorder)
+		}
+	}
+}
+
+// caller is one client with a flow of its own.
+type caller struct {
+	config   Config
+	recorder *Recorder
+	number   int
+	kind     Kind
+	service  Service
+	start    time.Time
+	random   *rand.Rand
+}
+
+func newCaller(config Config, recorder *Recorder, number int, start time.Time) *caller {
+	c := &caller{
+		config:   config,
+		recorder: recorder,
+		number:   number,
+		kind:     kindOf(config, number),
+		service:  config.Services[number%len(config.Services)],
+		start:    start,
+		random:   rand.New(rand.NewPCG(config.Seed, uint64(number))),
+	}
+	return c
+}
+
+func kindOf(config Config, number int) Kind {
+	switch {
+	case number < config.Feeds:
+		return KindFeed
+	case number < config.Feeds+config.Files:
+		return KindFile
+	default:
+		return KindBooking
+	}
+}
+
+func (c *caller) run(ctx context.Context) {
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		c.recorder.add(Request{Kind: c.kind, Result: ResultNoFlow, Error: err.Error()})
+		return
+	}
+	defer socket.Close()
+	endpoint := &quic.Transport{Conn: socket}
+	defer endpoint.Close()
+	transport := c.transport(endpoint)
+	defer transport.Close()
+	client := &http.Client{Transport: transport}
+	for sequence := range c.config.MaxRequests {
+		if ctx.Err() != nil || time.Since(c.start) >= c.config.Duration {
+			return
+		}
+		c.sendOne(ctx, client, sequence)
+		c.pause(ctx)
+	}
+}
+
+func (c *caller) transport(endpoint *quic.Transport) *http3.Transport {
+	return &http3.Transport{
+		TLSClientConfig:    c.config.tlsConfig(c.service),
+		DisableCompression: true,
+		QUICConfig: &quic.Config{
+			HandshakeIdleTimeout: handshakeTimeout,
+			MaxIdleTimeout:       callerIdleTime,
+			KeepAlivePeriod:      callerKeepAlive,
+		},
+		Dial: func(ctx context.Context, _ string, tlsConfig *tls.Config, config *quic.Config) (*quic.Conn, error) {
+			conn, err := endpoint.Dial(ctx, net.UDPAddrFromAddrPort(c.service.Address), tlsConfig, config)
+			c.recorder.addDial(err != nil)
+			if err != nil {
+				return nil, &dialError{err}
+			}
+			return conn, nil
+		},
+	}
+}
+
+func (c *caller) sendOne(ctx context.Context, client *http.Client, sequence int) {
+	nonce := fmt.Sprintf("%d-%d-%d", c.config.Seed, c.number, sequence)
+	sending := exchange{
+		client:  client,
+		host:    c.service.Address.String(),
+		config:  c.config,
+		kind:    c.kind,
+		nonce:   nonce,
+		timeout: c.config.RequestTimeout,
+	}
+	if c.kind == KindBooking {
+		sending.key = "key-" + nonce
+	}
+	if len(c.config.Tokens) > 0 {
+		sending.token = c.config.Tokens[c.number%len(c.config.Tokens)]
+	}
+	begin := time.Now()
+	c.recorder.addSent()
+	record := sending.run(ctx)
+	record.Service = string(c.service.Name)
+	record.Start = begin.Sub(c.start)
+	record.Latency = time.Since(begin)
+	c.recorder.add(record)
+}
+
+// pause waits between half and one and a half of the configured pause.
+func (c *caller) pause(ctx context.Context) {
+	wait := time.Duration(float64(c.config.Pause) * (0.5 + c.random.Float64()))
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/standin/fabric/command.go
@@ -0,0 +1,149 @@
+package fabric
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	checkInterval = 100 * time.Millisecond
+	checkTimeout  = 200 * time.Millisecond
+)
+
+// Member is one balancer as the fabric's health checks see it.
+type Member struct {
+	// Fabric is the UDP address of the balancer's fabric plug-in.
+	Fabric netip.AddrPort `json:"fabric"`
+	// Ready is the TCP address that serves /readyz.
+	Ready netip.AddrPort `json:"ready"`
+}
+
+// Settings are the settings of the stand-in as a process.
+type Settings struct {
+	Listen    netip.AddrPort   `json:"listen"`
+	Services  []netip.AddrPort `json:"services"`
+	Members   []Member         `json:"members"`
+	DelayMS   float64          `json:"delay_ms"`
+	Operators netip.AddrPort   `json:"operators"`
+}
+
+// Run runs the stand-in until the context ends. Members whose /readyz fails are
+// left out of the spray until it works again.
+func Run(ctx context.Context, settings Settings, seed uint64, log *logrus.Entry) error {
+	f, err := Start(Config{
+		Listen:   settings.Listen,
+		Services: settings.Services,
+		Delay:    time.Duration(settings.DelayMS * float64(time.Millisecond)),
+		Seed:     seed,
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	listener, err := net.Listen("tcp", settings.Operators.String())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	server := &http.Server{Handler: f.operators(), ReadHeaderTimeout: checkTimeout}
+	go server.Serve(listener)
+	defer server.Close()
+	log.WithField("listen", f.Addr()).Info("event=fabric_started")
+	f.checkMembers(ctx, settings.Members, log)
+	return nil
+}
+
+func (f *Fabric) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /balancers", func(w http.ResponseWriter, _ *http.Request) {
+		json.NewEncoder(w).Encode(*f.balancers.Load())
+	})
+	return mux
+}
+
+func (f *Fabric) checkMembers(ctx context.Context, members []Member, log *logrus.Entry) {
+	client := &http.Client{Timeout: checkTimeout}
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		before := len(*f.balancers.Load())
+		f.SetBalancers(readyMembers(ctx, client, members))
+		if after := len(*f.balancers.Load()); after != before {
+			log.WithField("before", before).WithField("after", after).Info("event=members_changed")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func readyMembers(ctx context.Context, client *http.Client, members []Member) []netip.AddrPort {
+	ready := make([]bool, len(members))
+	var checks sync.WaitGroup
+	for i, member := range members {
+		checks.Go(func() { ready[i] = isReady(ctx, client, member) })
+	}
+	checks.Wait()
+	var addresses []netip.AddrPort
+	for i, member := range members {
+		if ready[i] {
+			addresses = append(addresses, member.Fabric)
+		}
+	}
+	return addresses
+}
+
+func isReady(ctx context.Context, client *http.Client, member Member) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+member.Ready.String()+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Command returns the command "fabric" of balsamdev.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "fabric",
+		Usage: "run the stand-in fabric until it is stopped",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "JSON `FILE` with the stand-in's settings", Required: true},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the choice of balancers", Value: 1},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			settings, err := load(command.String("settings"))
+			if err != nil {
+				return err
+			}
+			return Run(ctx, settings, command.Uint64("seed"), logrus.NewEntry(logrus.StandardLogger()))
+		},
+	}
+}
+
+func load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, Error.Wrap(err)
+	}
+	var settings Settings
+	if err := json.Unmarshal(text, &settings); err != nil {
+		return Settings{}, Error.New("%s: %v", path, err)
+	}
+	return settings, nil
+}
