Add strict decoding of settings and lists

Cause: settings and the operators' lists are written by people, and the standard decoder stops at its first fault, accepts repeated fields and other letter cases, and names no index. Weighed: hand-written checks for each struct (every list would need its own, and drift from the structs); the standard decoder with DisallowUnknownFields (one fault at a time, no path of array elements). Taken: a JSON schema that invopop/jsonschema reflects from the structs, checked by santhosh-tekuri/jsonschema v6, after a token scan for repeated fields, trailing data, depth and absurd numbers. Result: all faults in one error, each with path, value and what is allowed.

--- /dev/null
+++ b/internal/strictjson/scan.go
@@ -0,0 +1,154 @@
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+)
+
+const (
+	// MaxDepth is how deeply objects and arrays may be nested.
+	MaxDepth        = 64
+	maxNumberLength = 40
+)
+
+// scanner walks the tokens of a document for the faults that a decoder passes
+// over in silence: repeated fields, trailing data and absurd numbers.
+type scanner struct {
+	data     []byte
+	decoder  *json.Decoder
+	problems *Problems
+	// unsafe tells that the document must not be decoded further.
+	unsafe bool
+}
+
+// scan lists the faults of a document's form and tells whether it can be
+// decoded nevertheless, to find more of them.
+func scan(path string, data []byte) (problems *Problems, decodable bool) {
+	problems = checkEnvelope(path, data)
+	if len(problems.List) > 0 {
+		return problems, false
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	s := &scanner{data: data, decoder: decoder, problems: problems}
+	whole := s.value(path, 0)
+	if whole {
+		s.end(path)
+	}
+	return problems, whole && !s.unsafe
+}
+
+func (s *scanner) value(path string, depth int) bool {
+	token, ok := s.token(path)
+	if !ok {
+		return false
+	}
+	switch token := token.(type) {
+	case json.Delim:
+		return s.container(path, token, depth+1)
+	case json.Number:
+		s.number(path, token)
+	}
+	return true
+}
+
+func (s *scanner) container(path string, open json.Delim, depth int) bool {
+	if depth > MaxDepth {
+		s.problems.Add(Problem{
+			Path:    path,
+			Value:   "nested too deeply",
+			Allowed: fmt.Sprintf("at most %d levels", MaxDepth),
+		})
+		return false
+	}
+	if open == '{' {
+		return s.object(path, depth)
+	}
+	return s.array(path, depth)
+}
+
+func (s *scanner) object(path string, depth int) bool {
+	seen := map[string]bool{}
+	for s.decoder.More() {
+		token, ok := s.token(path)
+		if !ok {
+			return false
+		}
+		name, _ := token.(string)
+		field := Join(path, name)
+		if seen[name] {
+			s.problems.Add(Problem{Path: field, Value: "repeated field", Allowed: "each field once"})
+		}
+		seen[name] = true
+		if !s.value(field, depth) {
+			return false
+		}
+	}
+	_, ok := s.token(path)
+	return ok
+}
+
+func (s *scanner) array(path string, depth int) bool {
+	for i := 0; s.decoder.More(); i++ {
+		if !s.value(Index(path, i), depth) {
+			return false
+		}
+	}
+	_, ok := s.token(path)
+	return ok
+}
+
+func (s *scanner) number(path string, number json.Number) {
+	_, err := strconv.ParseFloat(number.String(), 64)
+	if err == nil && len(number) <= maxNumberLength {
+		return
+	}
+	s.unsafe = true
+	s.problems.Add(Problem{
+		Path:    path,
+		Value:   number.String(),
+		Allowed: fmt.Sprintf("a number of at most %d characters that fits 64 bits", maxNumberLength),
+	})
+}
+
+func (s *scanner) end(path string) {
+	_, err := s.decoder.Token()
+	if errors.Is(err, io.EOF) {
+		return
+	}
+	s.unsafe = true
+	s.problems.Add(Problem{
+		Path:    path,
+		Value:   "more data after the document, at " + s.position(s.decoder.InputOffset()),
+		Allowed: "one JSON value",
+	})
+}
+
+func (s *scanner) token(path string) (json.Token, bool) {
+	token, err := s.decoder.Token()
+	if err == nil {
+		return token, true
+	}
+	offset := s.decoder.InputOffset()
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		offset = syntax.Offset
+	}
+	s.problems.Add(Problem{
+		Path:    path,
+		Value:   fmt.Sprintf("%v at %s", err, s.position(offset)),
+		Allowed: "well-formed JSON",
+	})
+	return nil, false
+}
+
+func (s *scanner) position(offset int64) string {
+	before := s.data[:min(offset, int64(len(s.data)))]
+	line := bytes.Count(before, []byte("\n")) + 1
+	column := len(before) - bytes.LastIndexByte(before, '\n') - 1
+	return fmt.Sprintf("line %d column %d", line, column)
+}
--- /dev/null
+++ b/internal/strictjson/schema.go
@@ -0,0 +1,140 @@
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"reflect"
+	"strconv"
+	"sync"
+
+	reflection "github.com/invopop/jsonschema"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/shopspring/decimal"
+)
+
+// schemaURL is a name inside the compiler; nothing is loaded from it.
+const schemaURL = "mem:///schema.json"
+
+// Schema returns the JSON schema that Decode checks documents of type T with.
+func Schema[T any]() ([]byte, error) {
+	document, err := reflector().ReflectFromType(reflect.TypeFor[T]()).MarshalJSON()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	var indented bytes.Buffer
+	err = json.Indent(&indented, document, "", "  ")
+	return indented.Bytes(), Error.Wrap(err)
+}
+
+// schema is a compiled schema with its JSON form, which tells what is allowed.
+type schema struct {
+	compiled *jsonschema.Schema
+	document any
+}
+
+var schemas sync.Map
+
+func schemaOf[T any]() (*schema, error) {
+	key := reflect.TypeFor[T]()
+	if known, ok := schemas.Load(key); ok {
+		return known.(*schema), nil
+	}
+	text, err := Schema[T]()
+	if err != nil {
+		return nil, err
+	}
+	made, err := compile(text)
+	if err != nil {
+		return nil, err
+	}
+	schemas.Store(key, made)
+	return made, nil
+}
+
+func compile(text []byte) (*schema, error) {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	compiler := jsonschema.NewCompiler()
+	compiler.AssertFormat()
+	for _, format := range formats {
+		compiler.RegisterFormat(format)
+	}
+	if err := compiler.AddResource(schemaURL, document); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	compiled, err := compiler.Compile(schemaURL)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &schema{compiled: compiled, document: document}, nil
+}
+
+func reflector() *reflection.Reflector {
+	return &reflection.Reflector{
+		Anonymous:      true,
+		DoNotReference: true,
+		ExpandedStruct: true,
+		Mapper:         mapType,
+	}
+}
+
+var (
+	addrPortType = reflect.TypeFor[netip.AddrPort]()
+	addrType     = reflect.TypeFor[netip.Addr]()
+	prefixType   = reflect.TypeFor[netip.Prefix]()
+	decimalType  = reflect.TypeFor[decimal.Decimal]()
+)
+
+// mapType gives the schema of the types that the reflector does not know.
+func mapType(t reflect.Type) *reflection.Schema {
+	switch t {
+	case addrPortType:
+		return &reflection.Schema{Type: "string", Format: formatAddrPort}
+	case addrType:
+		return &reflection.Schema{Type: "string", Format: formatAddr}
+	case prefixType:
+		return &reflection.Schema{Type: "string", Format: formatPrefix}
+	case decimalType:
+		return &reflection.Schema{Format: formatDecimal, Extras: map[string]any{"type": []string{"string", "number"}}}
+	}
+	return mapKind(t.Kind())
+}
+
+func mapKind(kind reflect.Kind) *reflection.Schema {
+	switch kind {
+	case reflect.Int, reflect.Int64:
+		return integer(-1<<63, 1<<63-1)
+	case reflect.Int8, reflect.Int16, reflect.Int32:
+		half := int64(1) << (8*widthOf(kind) - 1)
+		return integer(-half, uint64(half-1))
+	case reflect.Uint, reflect.Uint64:
+		return integer(0, 1<<64-1)
+	case reflect.Uint8, reflect.Uint16, reflect.Uint32:
+		return integer(0, 1<<(8*widthOf(kind))-1)
+	default:
+		return nil
+	}
+}
+
+func widthOf(kind reflect.Kind) uint {
+	switch kind {
+	case reflect.Int8, reflect.Uint8:
+		return 1
+	case reflect.Int16, reflect.Uint16:
+		return 2
+	default:
+		return 4
+	}
+}
+
+func integer(least int64, most uint64) *reflection.Schema {
+	return &reflection.Schema{
+		Type:    "integer",
+		Format:  formatInteger,
+		Minimum: json.Number(strconv.FormatInt(least, 10)),
+		Maximum: json.Number(strconv.FormatUint(most, 10)),
+	}
+}
