Add log set-up, counters and the operators' server

Ruled out: publishing each counter to the global expvar set, since several nodes run in one process in tests and a taken name panics there. The set is an expvar.Var of its own, shown beside the global ones on /debug/vars. Result: the message of a log line becomes event=..., lines on packet paths are limited and the rest counted.

--- /dev/null
+++ b/internal/observe/observe_test.go
@@ -0,0 +1,87 @@
+package observe_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamlink/balsamlink/internal/observe"
+)
+
+func TestOneLineForEachEvent(t *testing.T) {
+	var out bytes.Buffer
+	log, err := observe.NewLog(&out, "")
+	require.NoError(t, err)
+	log.WithField("text", "two\nlines").Info("event=started")
+	log.Debug("left_out")
+	log.WithField("n", 1).Warn("stopped")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	require.Len(t, lines, 2)
+	require.Contains(t, lines[0], ` event=started text="two\nlines"`)
+	require.Contains(t, lines[1], ` level=warning event=stopped n=1`)
+
+	_, err = observe.NewLog(&out, "loud")
+	require.ErrorContains(t, err, `log level "loud"; allowed: [panic`)
+}
+
+func TestLimitedLogCountsWhatItLeavesOut(t *testing.T) {
+	var out bytes.Buffer
+	log, err := observe.NewLog(&out, "")
+	require.NoError(t, err)
+	suppressed := observe.NewCounters().Counter("log_suppressed", "Log lines left out.")
+	limited := observe.NewLimitedLog(log, 0, 3, suppressed)
+	for range 10 {
+		limited.Warn("dropped", logrus.Fields{"reason": "short"})
+	}
+	require.Equal(t, 3, strings.Count(out.String(), "event=dropped"))
+	require.EqualValues(t, 7, suppressed.Value())
+}
+
+func TestOperatorsServer(t *testing.T) {
+	log, err := observe.NewLog(io.Discard, "")
+	require.NoError(t, err)
+	counters := observe.NewCounters()
+	counters.Counter("drops", "Datagrams dropped.").Add(5)
+	counters.GaugeFunc("open", "Open flows.", func() int64 { return 7 })
+	require.Panics(t, func() { counters.Gauge("drops", "Taken.") })
+	health := observe.NewHealth("documents", "fresh")
+	server, err := observe.StartServer(netip.MustParseAddrPort("127.0.0.1:0"), counters, health, log)
+	require.NoError(t, err)
+	_, err = observe.StartServer(server.Addr(), counters, health, log)
+	require.ErrorContains(t, err, server.Addr().String())
+
+	get := func(path string) (int, map[string]any) {
+		response, err := http.Get("http://" + server.Addr().String() + path)
+		require.NoError(t, err)
+		defer response.Body.Close()
+		var page map[string]any
+		require.NoError(t, json.NewDecoder(response.Body).Decode(&page))
+		return response.StatusCode, page
+	}
+	status, page := get(observe.PathReady)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Len(t, page["reasons"], 2)
+	health.Met("documents")
+	health.Met("fresh")
+	status, _ = get(observe.PathReady)
+	require.Equal(t, http.StatusOK, status)
+	health.Unmet("fresh", "no reply for 3 s")
+	status, page = get(observe.PathReady)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, []any{map[string]any{"condition": "fresh", "text": "no reply for 3 s"}}, page["reasons"])
+	status, _ = get(observe.PathHealthy)
+	require.Equal(t, http.StatusOK, status)
+	_, page = get(observe.PathMetrics)
+	require.Equal(t, map[string]any{"drops": 5.0, "open": 7.0}, page[observe.MetricsName])
+	require.Contains(t, page, "memstats")
+	require.Equal(t, map[string]int64{"drops": 5, "open": 7}, counters.Values())
+	require.NoError(t, server.Close(context.Background()))
+}
--- /dev/null
+++ b/internal/observe/server.go
@@ -0,0 +1,135 @@
+package observe
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// The paths of the operators' server.
+const (
+	// PathMetrics shows the counters of the process and of the Go runtime.
+	PathMetrics = "/debug/vars"
+	// PathHealthy answers 200 while the process runs.
+	PathHealthy = "/healthz"
+	// PathReady answers 200 when all conditions hold, else 503 with the reasons.
+	PathReady = "/readyz"
+)
+
+// MetricsName is the name of the process's own counters on the metrics page.
+const MetricsName = "balsamlink"
+
+const (
+	serverReadTimeout  = 5 * time.Second
+	serverWriteTimeout = 10 * time.Second
+	serverIdleTimeout  = time.Minute
+	maxHeaderSize      = 8 << 10
+)
+
+// Server is the HTTP server for operators. It shows and changes nothing.
+type Server struct {
+	listener net.Listener
+	http     http.Server
+	done     chan struct{}
+}
+
+// StartServer listens on an address and serves metrics and health pages.
+func StartServer(addr netip.AddrPort, counters *Counters, health *Health, log *logrus.Entry) (*Server, error) {
+	listener, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return nil, Error.New("operators' address %s: %v", addr, err)
+	}
+	server := &Server{
+		listener: listener,
+		http: http.Server{
+			Handler:        Handler(counters, health),
+			ReadTimeout:    serverReadTimeout,
+			WriteTimeout:   serverWriteTimeout,
+			IdleTimeout:    serverIdleTimeout,
+			MaxHeaderBytes: maxHeaderSize,
+		},
+		done: make(chan struct{}),
+	}
+	go server.serve(log)
+	return server, nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Close stops the server. Open answers end first, unless the context does.
+func (s *Server) Close(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		s.http.Close()
+	}
+	<-s.done
+	return Error.Wrap(err)
+}
+
+func (s *Server) serve(log *logrus.Entry) {
+	defer close(s.done)
+	if err := s.http.Serve(s.listener); err != http.ErrServerClosed {
+		log.WithError(err).Error("operators_server_failed")
+	}
+}
+
+// Handler returns the pages of the operators' server.
+func Handler(counters *Counters, health *Health) http.Handler {
+	pages := http.NewServeMux()
+	pages.HandleFunc("GET "+PathMetrics, func(w http.ResponseWriter, _ *http.Request) {
+		writeMetrics(w, counters)
+	})
+	pages.HandleFunc("GET "+PathHealthy, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, healthPage{Healthy: true})
+	})
+	pages.HandleFunc("GET "+PathReady, func(w http.ResponseWriter, _ *http.Request) {
+		writeReady(w, health)
+	})
+	return pages
+}
+
+type healthPage struct {
+	Healthy bool `json:"healthy"`
+}
+
+type readyPage struct {
+	Ready   bool     `json:"ready"`
+	Reasons []Reason `json:"reasons"`
+}
+
+func writeReady(w http.ResponseWriter, health *Health) {
+	reasons := health.Reasons()
+	if len(reasons) > 0 {
+		writeJSON(w, http.StatusServiceUnavailable, readyPage{Reasons: reasons})
+		return
+	}
+	writeJSON(w, http.StatusOK, readyPage{Ready: true, Reasons: reasons})
+}
+
+func writeJSON(w http.ResponseWriter, status int, page any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A reader that went away needs no page.
+	_ = json.NewEncoder(w).Encode(page)
+}
+
+// writeMetrics prints the variables of the runtime as expvar does, and the
+// process's own under MetricsName.
+func writeMetrics(w http.ResponseWriter, counters *Counters) {
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(w, "{\n%q: %s", MetricsName, counters)
+	expvar.Do(func(variable expvar.KeyValue) {
+		fmt.Fprintf(w, ",\n%q: %s", variable.Key, variable.Value)
+	})
+	fmt.Fprint(w, "\n}\n")
+}
