Add the operators' documents and the immutable book

Nodes, the ledger and balsamctl need one agreed reading of the two lists.

A document is an envelope (revision, change id, author, time, changes, head of the audit trail) around a content. Contents are checked in full, each error names its field, and are encoded in one order and spelling, so that the same list gives the same bytes and thus no change.

Ruled out: refusing a Book whose customers name a missing plan. The two documents spread one by one, so a node would then keep an old revision in force; such a customer has no allowance instead. Ruled out: refusing unknown header fields, which would stop older nodes from following a newer balsamctl.

The exponent of an amount is bounded before any arithmetic, since the cost of a decimal follows its exponent (1e999999999 is nine bytes long).

Seen failing against a Normalized without sorting, a Book that keeps the case of hashes, and a check that compares hashes with their case.

--- /dev/null
+++ b/internal/plan/document.go
@@ -0,0 +1,137 @@
+package plan
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// Document is one accepted version of one of the operators' documents.
+type Document struct {
+	Header  Header
+	Content Content
+}
+
+// Header tells who made a version of a document, when and how.
+type Header struct {
+	Revision model.Revision `json:"revision"`
+	// ChangeID names the change that made this version. It is unique.
+	ChangeID string    `json:"change_id"`
+	Author   string    `json:"author"`
+	Time     time.Time `json:"time"`
+	// Changes says in the operators' terms what differs from the version before.
+	Changes []string `json:"changes"`
+	// AuditHead is the end of the audit trail just before the change.
+	AuditHead AuditHead `json:"audit_head"`
+}
+
+// AuditHead names one entry of the audit trail with its hash.
+type AuditHead struct {
+	Sequence uint64 `json:"sequence"`
+	Hash     string `json:"hash"`
+}
+
+// envelope is the stored form of a Document.
+type envelope struct {
+	Header
+	Content json.RawMessage `json:"content"`
+}
+
+// DecodeDocument decodes and checks the stored form of a document. Unknown
+// fields of the header are ignored, so that a newer balsamctl may add some;
+// unknown fields of the content are refused.
+func DecodeDocument(kind model.DocumentKind, body []byte) (Document, error) {
+	if len(body) > MaxDocumentSize {
+		return Document{}, Error.New("%s: document of %d bytes is larger than %d", kind, len(body), MaxDocumentSize)
+	}
+	var stored envelope
+	if err := json.Unmarshal(body, &stored); err != nil {
+		return Document{}, Error.New("%s: %v", kind, err)
+	}
+	if stored.Revision == 0 {
+		return Document{}, Error.New("%s: revision: is missing or 0", kind)
+	}
+	if stored.ChangeID == "" {
+		return Document{}, Error.New("%s: change_id: is missing", kind)
+	}
+	content, err := DecodeContent(kind, stored.Content)
+	if err != nil {
+		return Document{}, err
+	}
+	return Document{Header: stored.Header, Content: content}, nil
+}
+
+// Encode returns the stored form of the document, with its content normalized.
+func (d Document) Encode() ([]byte, error) {
+	content, err := EncodeContent(d.Content)
+	if err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(envelope{Header: d.Header, Content: content})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if len(body) > MaxDocumentSize {
+		kind := d.Content.Kind()
+		return nil, Error.New("%s: document of %d bytes is larger than %d", kind, len(body), MaxDocumentSize)
+	}
+	return body, nil
+}
+
+// DecodeContent decodes and checks the content of a document, which is also
+// the form of the operators' files.
+func DecodeContent(kind model.DocumentKind, body []byte) (Content, error) {
+	switch kind {
+	case model.DocumentCustomers:
+		return decodeContent[Customers](body)
+	case model.DocumentPlans:
+		return decodeContent[Plans](body)
+	case model.DocumentOut:
+		return decodeContent[Out](body)
+	default:
+		return nil, Error.New("%s is not a known document", kind)
+	}
+}
+
+// EncodeContent returns the normalized form of a content. Equal contents give
+// equal bytes.
+func EncodeContent(content Content) ([]byte, error) {
+	if err := content.Check(); err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(content.Normalized())
+	return body, Error.Wrap(err)
+}
+
+// Equal reports whether two contents are the same but for order and spelling.
+// Both must pass their checks.
+func Equal(a, b Content) bool {
+	first, err := EncodeContent(a)
+	if err != nil {
+		return false
+	}
+	second, err := EncodeContent(b)
+	return err == nil && a.Kind() == b.Kind() && bytes.Equal(first, second)
+}
+
+func decodeContent[T Content](body []byte) (Content, error) {
+	var content T
+	if len(body) > MaxDocumentSize {
+		return nil, Error.New("%s: list of %d bytes is larger than %d", content.Kind(), len(body), MaxDocumentSize)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&content); err != nil {
+		return nil, Error.New("%s: %v", content.Kind(), err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, Error.New("%s: data follows the end of the list", content.Kind())
+	}
+	if err := content.Check(); err != nil {
+		return nil, err
+	}
+	return content, nil
+}
--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,153 @@
+package plan
+
+import (
+	"encoding/json"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/shopspring/decimal"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+func hash(digit string) string { return strings.Repeat(digit, credentialSize) }
+
+func price(text string) decimal.Decimal { return decimal.RequireFromString(text) }
+
+func bookings(units uint64) Allowance {
+	return Allowance{Service: "memberdesk", RequestsPerSecond: 5, Burst: 10, InFlight: 4, UnitsPerMonth: units, UnitPrice: price("0.25")}
+}
+
+func TestBookAnswersFromTheDocuments(t *testing.T) {
+	customers := Customers{Customers: []Customer{
+		{Name: "paarl-print", Plan: "studio", CredentialSHA256: []string{hash("A")}},
+		{Name: "durban-ends", Plan: "gone"},
+	}}
+	plans := Plans{Currency: "ZAR", Plans: []Plan{{Name: "studio", Allowances: []Allowance{bookings(10)}}}}
+	out := Out{Zones: []model.Zone{"gauteng-a"}, Targets: []model.NodeID{"agent-3"}}
+	book, err := NewBook(customers, plans, out, model.Revisions{3, 2, 1})
+	require.NoError(t, err)
+	customer, known := book.CustomerByCredential(hash("a"))
+	require.True(t, known)
+	require.Equal(t, model.Customer("paarl-print"), customer)
+	allowance, allowed := book.Allowance("paarl-print", "memberdesk")
+	require.True(t, allowed)
+	require.Equal(t, uint64(10), allowance.UnitsPerMonth)
+	for _, refused := range []struct {
+		customer model.Customer
+		service  model.Service
+	}{{"paarl-print", "proofroom"}, {"durban-ends", "memberdesk"}, {"nobody", "memberdesk"}} {
+		_, allowed = book.Allowance(refused.customer, refused.service)
+		require.False(t, allowed, refused)
+	}
+	require.Equal(t, []bool{true, false, true, false}, []bool{
+		book.ZoneOut("gauteng-a"), book.ZoneOut("gauteng-b"), book.TargetOut("agent-3"), book.TargetOut("agent-4"),
+	})
+	require.Equal(t, model.Revisions{3, 2, 1}, book.Revisions())
+}
+
+func TestBadContentNamesTheField(t *testing.T) {
+	negative, negativeFee := bookings(1), Plan{Name: "p", MonthlyFee: price("-1")}
+	negative.RequestsPerSecond = math.NaN()
+	huge := Plan{Name: "p", MonthlyFee: decimal.New(1, math.MaxInt32)}
+	for path, content := range map[string]Content{
+		"customers":                         Customers{},
+		"customers[1].name":                 Customers{Customers: []Customer{{Name: "a", Plan: "p"}, {Name: "a", Plan: "p"}}},
+		"customers[0].plan":                 Customers{Customers: []Customer{{Name: "a"}}},
+		"customers[0].credential_sha256[0]": Customers{Customers: []Customer{{Name: "a", Plan: "p", CredentialSHA256: []string{"beef"}}}},
+		"customers[1].credential_sha256[0]": Customers{Customers: []Customer{
+			{Name: "a", Plan: "p", CredentialSHA256: []string{hash("b")}},
+			{Name: "b", Plan: "p", CredentialSHA256: []string{hash("B")}},
+		}},
+		"currency":                 Plans{Currency: "rand", Plans: []Plan{}},
+		"plans[0].monthly_fee":     Plans{Currency: "ZAR", Plans: []Plan{negativeFee}},
+		"plans[1].monthly_fee":     Plans{Currency: "ZAR", Plans: []Plan{{Name: "q"}, huge}},
+		"plans[0].allowances[0].r": Plans{Currency: "ZAR", Plans: []Plan{{Name: "p", Allowances: []Allowance{negative}}}},
+		"zones[1]":                 Out{Zones: []model.Zone{"a", "a"}},
+		"targets[0]":               Out{Targets: []model.NodeID{" a"}},
+	} {
+		err := content.Check()
+		require.Error(t, err, path)
+		problems := Problems(err)
+		require.Len(t, problems, 1, path)
+		require.True(t, strings.HasPrefix(problems[0].Path, path), "%s: %v", path, problems)
+	}
+	oversized := make([]byte, MaxDocumentSize+1)
+	_, err := DecodeDocument(model.DocumentPlans, oversized)
+	require.ErrorContains(t, err, "larger than")
+}
+
+func drawCustomers(t *rapid.T) Customers {
+	names := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d"}), 0, 4, rapid.ID).Draw(t, "names")
+	list := Customers{Customers: []Customer{}}
+	for _, name := range names {
+		list.Customers = append(list.Customers, Customer{
+			Name:             model.Customer(name),
+			Plan:             Name(rapid.SampledFrom([]string{"p", "q"}).Draw(t, "plan")),
+			CredentialSHA256: rapid.SampledFrom([][]string{nil, {hash(name)}, {hash(name), strings.Repeat(name+"0", 32)}}).Draw(t, "hashes"),
+		})
+	}
+	return list
+}
+
+func drawPlans(t *rapid.T) Plans {
+	list := Plans{Currency: rapid.SampledFrom([]string{"ZAR", "VND"}).Draw(t, "currency"), Plans: []Plan{}}
+	for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"p", "q", "r"}), 0, 3, rapid.ID).Draw(t, "plans") {
+		plan := Plan{Name: Name(name), MonthlyFee: price(rapid.SampledFrom([]string{"1", "1.00", "10e-1", "12.5"}).Draw(t, "fee"))}
+		for _, service := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"x", "y"}), 0, 2, rapid.ID).Draw(t, "services") {
+			allowance := bookings(rapid.Uint64Range(0, 3).Draw(t, "units"))
+			allowance.Service = model.Service(service)
+			plan.Allowances = append(plan.Allowances, allowance)
+		}
+		list.Plans = append(list.Plans, plan)
+	}
+	return list
+}
+
+func TestEncodingIsOneForEqualContents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		customers, plans := drawCustomers(t), drawPlans(t)
+		order := rapid.Permutation(customers.Customers).Draw(t, "order")
+		shuffled := Customers{Customers: append([]Customer{}, order...)}
+		first, err := EncodeContent(customers)
+		require.NoError(t, err)
+		second, err := EncodeContent(shuffled)
+		require.NoError(t, err)
+		require.Equal(t, string(first), string(second))
+		for _, content := range []Content{customers, plans} {
+			document := Document{Header: Header{Revision: 1, ChangeID: "c"}, Content: content}
+			body, err := document.Encode()
+			require.NoError(t, err)
+			decoded, err := DecodeDocument(content.Kind(), body)
+			require.NoError(t, err)
+			require.True(t, Equal(content, decoded.Content))
+		}
+	})
+}
+
+func FuzzDecodeDocument(f *testing.F) {
+	for _, content := range []string{
+		`{"customers":[{"name":"a","plan":"p","credential_sha256":[]}]}`,
+		`{"currency":"ZAR","plans":[{"name":"p","monthly_fee":"1e999999999","allowances":[]}]}`,
+		`{"zones":["a"],"targets":null}`,
+	} {
+		f.Add(uint8(0), []byte(`{"revision":1,"change_id":"c","content":`+content+`}`))
+	}
+	f.Fuzz(func(t *testing.T, kind uint8, body []byte) {
+		document, err := DecodeDocument(model.DocumentKind(kind%model.DocumentCount), body)
+		if err != nil {
+			return
+		}
+		again, err := document.Encode()
+		if err != nil {
+			return // the normalized form may exceed the size limit
+		}
+		require.True(t, json.Valid(again))
+		decoded, err := DecodeDocument(model.DocumentKind(kind%model.DocumentCount), again)
+		require.NoError(t, err)
+		require.True(t, Equal(document.Content, decoded.Content))
+	})
+}
--- a/internal/plan/types.go
+++ b/internal/plan/types.go
@@ -4,10 +4,26 @@
 
 import (
 	"github.com/shopspring/decimal"
+	"github.com/zeebo/errs"
 
 	"github.com/balsamlink/balsamlink/internal/model"
 )
 
+// Error is the class of all errors of this layer.
+var Error = errs.Class("plan")
+
+// Content is the content of one of the operators' documents: Customers, Plans
+// or Out.
+type Content interface {
+	// Kind tells which document the content belongs to.
+	Kind() model.DocumentKind
+	// Check returns an error that names every offending field, or nil.
+	Check() error
+	// Normalized returns a copy in the one order and spelling in which equal
+	// contents are encoded to equal bytes.
+	Normalized() Content
+}
+
 // Customers is the list of customers with their plans.
 type Customers struct {
 	Customers []Customer `json:"customers"`
@@ -61,3 +77,12 @@
 	Zones   []model.Zone   `json:"zones"`
 	Targets []model.NodeID `json:"targets"`
 }
+
+// Kind implements Content.
+func (Customers) Kind() model.DocumentKind { return model.DocumentCustomers }
+
+// Kind implements Content.
+func (Plans) Kind() model.DocumentKind { return model.DocumentPlans }
+
+// Kind implements Content.
+func (Out) Kind() model.DocumentKind { return model.DocumentOut }
