--- /dev/null
+++ b/internal/request/refuse.go
@@ -0,0 +1,43 @@
+package request
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// refusal is an answer that the agent gives in place of a target's.
+type refusal struct {
+	status     int
+	outcome    Outcome
+	reason     string
+	retryAfter time.Duration
+}
+
+// Error implements error.
+func (r *refusal) Error() string { return r.reason }
+
+func notRun(status int, reason string, retryAfter time.Duration) *refusal {
+	return &refusal{status: status, outcome: OutcomeNotRun, reason: reason, retryAfter: retryAfter}
+}
+
+const defaultRetryAfter = time.Second
+
+func unavailable(reason string) *refusal {
+	return notRun(http.StatusServiceUnavailable, reason, defaultRetryAfter)
+}
+
+func (r *refusal) write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set(HeaderOutcome, string(r.outcome))
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	body := r.reason + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if r.retryAfter > 0 {
+		seconds := int(math.Ceil(r.retryAfter.Seconds()))
+		header.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(r.status)
+	_, _ = w.Write([]byte(body)) // a caller that has gone needs no refusal
+}
