Prove the sprayed path inside one process

Cause: the data plane needs a test that crosses all its parts. Change: callers, fabric, four balancers and three agents over loopback; each answer is held against its own request.

--- /dev/null
+++ b/internal/pathtest/path_test.go
@@ -0,0 +1,180 @@
+// Package pathtest holds tests of the whole path inside one process: callers,
+// fabric, balancers and agents over real sockets on loopback.
+package pathtest
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/big"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamlink/balsamlink/internal/agent"
+	"github.com/balsamlink/balsamlink/internal/balancer"
+	"github.com/balsamlink/balsamlink/internal/fabric/proxyv2"
+	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/keys"
+	"github.com/balsamlink/balsamlink/internal/load"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/standin/answer"
+	"github.com/balsamlink/balsamlink/internal/standin/fabric"
+	"github.com/balsamlink/balsamlink/internal/steering"
+)
+
+const service = model.Service("memberdesk")
+
+var (
+	loopback = netip.MustParseAddrPort("127.0.0.1:0")
+	shared   = keys.Shared{Datagram: [32]byte{1}, ConnectionID: [32]byte{2}, Reset: [32]byte{3}}
+)
+
+type alwaysFresh struct{}
+
+func (alwaysFresh) Fresh(model.Instant) bool { return true }
+
+// answers serves the stand-in's requests straight from the agent.
+type answers struct{}
+
+func (answers) Occupancy() steering.Occupancy {
+	return steering.Occupancy{Limit: 8, Open: true}
+}
+
+func (answers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	nonce := r.Header.Get(answer.HeaderNonce)
+	size := int64(answer.BookingSize)
+	switch r.URL.Path {
+	case answer.PathFile:
+		size, _ = strconv.ParseInt(r.URL.Query().Get(answer.QuerySize), 10, 64)
+	case answer.PathFeed:
+		blocks, _ := strconv.ParseInt(r.URL.Query().Get(answer.QueryBlocks), 10, 64)
+		size = blocks * answer.BlockSize
+	}
+	w.Header().Set(answer.HeaderNonce, nonce)
+	io.Copy(w, answer.Body(nonce, size))
+}
+
+type path struct {
+	fabric    *fabric.Fabric
+	balancers []*balancer.Traffic
+	agents    []*agent.Front
+	pool      *x509.CertPool
+	table     *steering.Table
+}
+
+func startPath(t *testing.T, balancers, agents int) *path {
+	certificate, pool := selfSigned(t)
+	p := &path{pool: pool}
+	var err error
+	p.fabric, err = fabric.Start(fabric.Config{Listen: loopback, Services: []netip.AddrPort{loopback}, Seed: 1})
+	require.NoError(t, err)
+	t.Cleanup(p.fabric.Stop)
+	for range agents {
+		p.agents = append(p.agents, startAgent(t, certificate))
+	}
+	p.table = tableOf(t, p.agents)
+	var fronts []netip.AddrPort
+	for range balancers {
+		traffic, front := startBalancer(t, p)
+		p.balancers = append(p.balancers, traffic)
+		fronts = append(fronts, front)
+	}
+	p.fabric.SetBalancers(fronts)
+	return p
+}
+
+func startAgent(t *testing.T, certificate tls.Certificate) *agent.Front {
+	front, err := agent.NewFront(agent.FrontConfig{
+		Data: loopback, Zone: "a", Service: service, Shared: shared, Requests: answers{},
+		Certificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return &certificate, nil },
+	})
+	require.NoError(t, err)
+	go front.Serve()
+	t.Cleanup(func() { front.Close() })
+	return front
+}
+
+func startBalancer(t *testing.T, p *path) (*balancer.Traffic, netip.AddrPort) {
+	plugin := &proxyv2.ProxyV2{}
+	settings, err := json.Marshal(proxyv2.Settings{Listen: loopback, Fabric: []netip.AddrPort{p.fabric.Addr()}})
+	require.NoError(t, err)
+	require.NoError(t, plugin.Provision(kernel.Env{}, settings))
+	require.NoError(t, plugin.Start(context.Background()))
+	traffic, err := balancer.NewTraffic(balancer.TrafficConfig{
+		Fabric: plugin, Data: loopback, Freshness: alwaysFresh{}, Key: shared.Datagram[:], Zone: "a",
+		Services: map[model.Service]netip.AddrPort{service: p.fabric.Services()[0]},
+	})
+	require.NoError(t, err)
+	traffic.SetTable(p.table)
+	traffic.Start(2)
+	t.Cleanup(func() {
+		plugin.Stop()
+		traffic.Stop()
+	})
+	return traffic, plugin.Addr()
+}
+
+func tableOf(t *testing.T, agents []*agent.Front) *steering.Table {
+	sealer, err := steering.NewSealer(shared.ConnectionID[:])
+	require.NoError(t, err)
+	input := steering.Input{Services: []model.Service{service}, Sealer: sealer}
+	for i, front := range agents {
+		input.Targets = append(input.Targets, steering.Target{
+			Node: model.NodeID(fmt.Sprintf("agent-%d", i)), Service: service, Zone: "a",
+			Agent: front.Addr(), Weight: 8, Running: true,
+		})
+	}
+	return steering.NewTable(input)
+}
+
+func selfSigned(t *testing.T) (tls.Certificate, *x509.CertPool) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: string(service)},
+		DNSNames: []string{string(service)}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	leaf, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
+}
+
+func (p *path) load() load.Config {
+	return load.Config{
+		Services:    []load.Service{{Name: service, Address: p.fabric.Services()[0]}},
+		Authorities: p.pool, Feeds: 4, Files: 4, Bookings: 4,
+		Duration: 30 * time.Second, MaxRequests: 10, RequestTimeout: 20 * time.Second,
+		FileSize: 200_000, FeedBlocks: 50, Seed: 1,
+	}
+}
+
+func TestSprayedFlowsGetTheirWholeAnswers(t *testing.T) {
+	p := startPath(t, 4, 3)
+	recorder, err := load.Run(context.Background(), p.load(), nil)
+	require.NoError(t, err)
+	requests := recorder.Requests()
+	require.Len(t, requests, 12*10)
+	for _, request := range requests {
+		require.Equal(t, load.ResultAnswered, request.Result, "%+v", request)
+	}
+	for i, traffic := range p.balancers {
+		require.Positive(t, traffic.Counters.In.Load(), "balancer %d got no datagrams", i)
+	}
+}
