--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -27,13 +27,15 @@
 )
 
 // Module is one fitted plug-in. The kernel calls the methods in the order in
-// which they stand here; Stop is called even when an earlier step failed.
+// which they stand here. Stop is called even when an earlier step failed, and
+// while a Start or Drain that outlived its context still runs.
 type Module interface {
 	// Provision decodes the module's own part of the settings.
 	Provision(env Env, settings json.RawMessage) error
 	// Validate checks the settings and opens nothing.
 	Validate() error
-	// Start opens what the module needs and begins its work.
+	// Start opens what the module needs and begins its work. The context ends
+	// when all modules have started, so the work must not depend on it.
 	Start(ctx context.Context) error
 	// Drain stops taking new work and returns when the open work has ended or
 	// the context has.
@@ -45,6 +47,12 @@
 // Env is what a module may use of its process.
 type Env struct {
 	Log *logrus.Entry
+	// Path is where the module's settings stand in the settings file, as in
+	// "node.platform.settings". It begins the path of each problem.
+	Path string
+	// Fail ends the process because the module can't go on. It never blocks and
+	// may be called from any goroutine.
+	Fail func(err error)
 }
 
 // Plugin describes a plug-in to the kernel.
