--- /dev/null
+++ b/internal/billing/forecast.go
@@ -0,0 +1,141 @@
+package billing
+
+import (
+	"math/big"
+	"time"
+
+	"github.com/shopspring/decimal"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/plan"
+)
+
+// Forecast is what the customers can be billed for one month.
+type Forecast struct {
+	// Month is the month after the one of the metering totals.
+	Month    Month  `json:"month"`
+	Currency string `json:"currency"`
+	// MeteredMonth and MeteredUntil tell which use the run-rate rests on.
+	MeteredMonth Month     `json:"metered_month"`
+	MeteredUntil time.Time `json:"metered_until"`
+	Bills        []Bill    `json:"bills"`
+	// MostPossible and RunRate are the sums over all bills.
+	MostPossible decimal.Decimal `json:"most_possible"`
+	RunRate      decimal.Decimal `json:"run_rate"`
+}
+
+// Bill is the forecast for one customer.
+type Bill struct {
+	Customer   model.Customer  `json:"customer"`
+	Plan       plan.Name       `json:"plan"`
+	MonthlyFee decimal.Decimal `json:"monthly_fee"`
+	Lines      []Line          `json:"lines"`
+	// MostPossible is the most that the lists allow the customer to be billed.
+	MostPossible decimal.Decimal `json:"most_possible"`
+	// RunRate is the bill if the customer goes on as in the metered month.
+	RunRate decimal.Decimal `json:"run_rate"`
+}
+
+// Line is the part of a bill for one service.
+type Line struct {
+	Service       model.Service   `json:"service"`
+	UnitPrice     decimal.Decimal `json:"unit_price"`
+	UnitsPerMonth uint64          `json:"units_per_month"`
+	MostPossible  decimal.Decimal `json:"most_possible"`
+	// UsedUnits were used in the metered month so far.
+	UsedUnits uint64 `json:"used_units"`
+	// RunRateUnits is the use carried on over the whole forecast month, rounded
+	// up to whole units and at most UnitsPerMonth.
+	RunRateUnits uint64          `json:"run_rate_units"`
+	RunRate      decimal.Decimal `json:"run_rate"`
+}
+
+// NewForecast works out the bills of the month after the one that now falls
+// into. The usage must be that of the current month. The lists must pass their
+// checks and refer to each other correctly.
+func NewForecast(lists plan.Lists, usage Usage, now time.Time) (Forecast, error) {
+	if usage.Month != MonthOf(now) {
+		return Forecast{}, Error.New("usage is of month %s while it is %s", usage.Month, MonthOf(now))
+	}
+	if err := plan.CheckReferences(lists.Customers, lists.Plans); err != nil {
+		return Forecast{}, Error.Wrap(err)
+	}
+	pace, err := newPace(usage.Month, now)
+	if err != nil {
+		return Forecast{}, err
+	}
+	forecast := Forecast{
+		Month: MonthOf(pace.nextStart), Currency: lists.Plans.Currency,
+		MeteredMonth: usage.Month, MeteredUntil: now.UTC(), Bills: []Bill{},
+	}
+	plans := plansByName(lists.Plans)
+	for _, customer := range lists.Customers.Normalized().(plan.Customers).Customers {
+		bill := newBill(customer.Name, plans[customer.Plan], usage, pace)
+		forecast.Bills = append(forecast.Bills, bill)
+		forecast.MostPossible = forecast.MostPossible.Add(bill.MostPossible)
+		forecast.RunRate = forecast.RunRate.Add(bill.RunRate)
+	}
+	return forecast, nil
+}
+
+func newBill(customer model.Customer, p plan.Plan, usage Usage, pace pace) Bill {
+	bill := Bill{
+		Customer: customer, Plan: p.Name, MonthlyFee: p.MonthlyFee, Lines: []Line{},
+		MostPossible: p.MonthlyFee, RunRate: p.MonthlyFee,
+	}
+	for _, allowance := range p.Allowances {
+		line := newLine(allowance, usage.Units(customer, allowance.Service), pace)
+		bill.Lines = append(bill.Lines, line)
+		bill.MostPossible = bill.MostPossible.Add(line.MostPossible)
+		bill.RunRate = bill.RunRate.Add(line.RunRate)
+	}
+	return bill
+}
+
+func newLine(allowance plan.Allowance, used uint64, pace pace) Line {
+	units := min(pace.carryOn(used), allowance.UnitsPerMonth)
+	return Line{
+		Service: allowance.Service, UnitPrice: allowance.UnitPrice,
+		UnitsPerMonth: allowance.UnitsPerMonth, MostPossible: cost(allowance.UnitsPerMonth, allowance.UnitPrice),
+		UsedUnits: used, RunRateUnits: units, RunRate: cost(units, allowance.UnitPrice),
+	}
+}
+
+func cost(units uint64, price decimal.Decimal) decimal.Decimal {
+	return decimal.NewFromUint64(units).Mul(price)
+}
+
+// pace relates the metered part of a month to the whole next month.
+type pace struct {
+	nextStart  time.Time
+	elapsed    time.Duration
+	nextLength time.Duration
+}
+
+func newPace(month Month, now time.Time) (pace, error) {
+	start, err := month.Start()
+	if err != nil {
+		return pace{}, err
+	}
+	next := start.AddDate(0, 1, 0)
+	afterNext := start.AddDate(0, 2, 0)
+	return pace{nextStart: next, elapsed: now.Sub(start), nextLength: afterNext.Sub(next)}, nil
+}
+
+// carryOn returns the units of the whole next month at the pace of the metered
+// part, rounded up. At the first instant of a month there is no pace yet.
+func (p pace) carryOn(used uint64) uint64 {
+	if p.elapsed <= 0 {
+		return used
+	}
+	elapsed := big.NewInt(int64(p.elapsed))
+	units := new(big.Int).SetUint64(used)
+	units.Mul(units, big.NewInt(int64(p.nextLength)))
+	units.Add(units, elapsed)
+	units.Sub(units, big.NewInt(1))
+	units.Quo(units, elapsed)
+	if !units.IsUint64() {
+		return plan.MaxUnitsPerMonth
+	}
+	return units.Uint64()
+}
