Keep nodes in touch without a list of targets

Cause: every node needs to know the others, the newest documents and whether it is fresh, without a coordination service and without platform calls that follow the fleet.

Each node sends heartbeats to three balancers that rendezvous hashing names. Balancers push changes of records to four random others and compare a digest with each heartbeat. A silent node is asked for directly and through its other watchers before it is marked down. Documents ride as revision numbers on every heartbeat and question and are fetched from whoever has the newer one. Proofs of freshness carry their age, so that two nodes cannot keep each other fresh.

--- /dev/null
+++ b/internal/cluster/cluster_test.go
@@ -0,0 +1,107 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamlink/balsamlink/internal/membership"
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// fleet starts balancers lb-0, lb-1 ... and agents of one service.
+func fleet(t *testing.T, s secrets, balancers, agents int, config memberConfig) (all []*member, names []model.NodeID) {
+	for i := range balancers + agents {
+		one := config
+		one.name = model.NodeID(fmt.Sprintf("lb-%d", i))
+		if i >= balancers {
+			one.name = model.NodeID(fmt.Sprintf("agent-%d", i-balancers))
+			one.service = "memberdesk"
+		}
+		if i > 0 {
+			one.seeds = append([]netip.AddrPort{all[0].addr()}, config.seeds...)
+		}
+		all = append(all, s.start(t, one))
+		names = append(names, one.name)
+	}
+	return all, names
+}
+
+func TestNodesFindEachOtherAndTheLeavingAreGone(t *testing.T) {
+	s := newSecrets(t)
+	all, names := fleet(t, s, 4, 3, memberConfig{})
+	other := s.start(t, memberConfig{name: "proof-0", service: "proofroom", seeds: []netip.AddrPort{all[1].addr()}})
+	eventually(t, 5*time.Second, "balancers see all", func() bool {
+		return sees(all[:4], append([]model.NodeID{"proof-0"}, names...)...)
+	})
+	eventually(t, 5*time.Second, "agents see their service", func() bool { return sees(all[4:], names...) })
+	eventually(t, 5*time.Second, "other service", func() bool {
+		return sees([]*member{other}, "lb-0", "lb-1", "lb-2", "lb-3", "proof-0")
+	})
+
+	all[6].SetState(membership.StateDraining)
+	took := eventually(t, 3*time.Second, "draining is seen", func() bool {
+		for _, m := range all {
+			if record, _ := m.View().Find("agent-2"); record.State != membership.StateDraining {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("draining seen by all after %s", took)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	require.NoError(t, all[6].Leave(ctx))
+	all[6].kill()
+	eventually(t, 3*time.Second, "the left is gone", func() bool {
+		return sees(all[4:6], names[:6]...) && sees(all[:4], append([]model.NodeID{"proof-0"}, names[:6]...)...)
+	})
+}
+
+func TestDeadNodesAreFoundInThreeSeconds(t *testing.T) {
+	s := newSecrets(t)
+	all, names := fleet(t, s, 4, 2, memberConfig{})
+	eventually(t, 5*time.Second, "all see all", func() bool { return sees(all, names...) })
+	all[5].kill()
+	all[3].kill()
+	rest := append([]*member{}, all[:3]...)
+	rest = append(rest, all[4])
+	took := eventually(t, 3500*time.Millisecond, "two deaths at once", func() bool {
+		return sees(rest, "lb-0", "lb-1", "lb-2", "agent-0")
+	})
+	t.Logf("deaths seen by all after %s", took)
+}
+
+func TestDocumentsReachAll(t *testing.T) {
+	s := newSecrets(t)
+	all, names := fleet(t, s, 3, 2, memberConfig{check: func(d Document) error {
+		if string(d.Body) == "bad" {
+			return Error.New("body: bad")
+		}
+		return nil
+	}})
+	eventually(t, 5*time.Second, "all see all", func() bool { return sees(all, names...) })
+	ctx := context.Background()
+	require.NoError(t, all[0].Offer(ctx, Document{Kind: model.DocumentOut, Revision: 3, Body: []byte("three")}))
+	holds := func(revision model.Revision) func() bool {
+		return func() bool {
+			for _, m := range all {
+				if m.Revisions()[model.DocumentOut] != revision || !m.Fresh(model.Now()) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	t.Logf("spread after %s", eventually(t, 3*time.Second, "revision 3 everywhere", holds(3)))
+	require.NoError(t, all[0].Offer(ctx, Document{Kind: model.DocumentOut, Revision: 2, Body: []byte("two")}))
+	require.Error(t, all[0].Offer(ctx, Document{Kind: model.DocumentOut, Revision: 4, Body: []byte("bad")}))
+	require.Error(t, all[0].Offer(ctx, Document{Kind: model.DocumentOut, Revision: 4, Body: make([]byte, 1<<20+1)}))
+	require.True(t, holds(3)())
+	require.NoError(t, all[4].Offer(ctx, Document{Kind: model.DocumentOut, Revision: 5, Body: []byte("five")}))
+	t.Logf("from an agent after %s", eventually(t, 3*time.Second, "revision 5 everywhere", holds(5)))
+}
--- /dev/null
+++ b/internal/cluster/messages.go
@@ -0,0 +1,96 @@
+package cluster
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/membership"
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// Document is one of the operators' documents as the platform holds it.
+type Document struct {
+	Kind     model.DocumentKind
+	Revision model.Revision
+	Body     []byte
+}
+
+// DocumentRequest is the request of rpc.MethodDocument; the reply is a Document.
+type DocumentRequest struct {
+	Kind model.DocumentKind
+}
+
+// OfferReply is the reply of rpc.MethodOffer, whose request is a Document.
+type OfferReply struct {
+	// Revisions are those that the peer holds after the offer.
+	Revisions model.Revisions
+}
+
+// PingRequest is the request of rpc.MethodPing.
+type PingRequest struct {
+	Revisions model.Revisions
+	// About names a node of which the caller wants to know whether it lives;
+	// usually empty.
+	About model.NodeID
+	// From is the caller's control address, given while it has a new document.
+	From netip.AddrPort
+}
+
+// PingReply tells how fresh a node is.
+type PingReply struct {
+	// AgeMillis is the age of the node's proof of freshness, in milliseconds
+	// and rounded up. It is noProof when the node has none.
+	AgeMillis int32
+	Confirmed bool
+	Revisions model.Revisions
+	// Heard tells that the node is the one asked about, or heard from it a
+	// short time ago.
+	Heard bool
+}
+
+const noProof int32 = -1
+
+func (r PingReply) age() (time.Duration, bool) {
+	return time.Duration(r.AgeMillis) * time.Millisecond, r.AgeMillis >= 0
+}
+
+func (r PingReply) knowledge() membership.Knowledge {
+	return membership.Knowledge{Revisions: r.Revisions, Confirmed: r.Confirmed}
+}
+
+// beatRequest is the request of rpc.MethodAnnounce: a heartbeat.
+type beatRequest struct {
+	Node        model.NodeID
+	Incarnation uint64
+	Version     uint64
+	Revisions   model.Revisions
+	// Record is sent at first, after a change and when the peer wants it.
+	Record *membership.Record
+}
+
+type beatReply struct {
+	Ping PingReply
+	// Digest is over the records that the caller needs.
+	Digest uint64
+	// WantRecord asks for the caller's record.
+	WantRecord bool
+	// Claim is a newer record of the caller itself that the peer holds.
+	Claim *membership.Record
+}
+
+// syncRequest is the request of rpc.MethodSync. Each part may be empty.
+type syncRequest struct {
+	Service model.Service
+	// Buckets asks for the stamps of the buckets that differ.
+	Buckets []uint32
+	// Push brings records.
+	Push []membership.Record
+	// Want asks for records.
+	Want []model.NodeID
+}
+
+type syncReply struct {
+	Differ  []uint8
+	Stamps  []membership.Stamp
+	Records []membership.Record
+}
--- /dev/null
+++ b/internal/membership/assign.go
@@ -0,0 +1,137 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// WatcherCount is the number of balancers that watch each node.
+const WatcherCount = 3
+
+// Assignment holds the balancers of a view in the forms that the choices of
+// watchers and of sources of proof need.
+type Assignment struct {
+	balancers []ranked
+}
+
+type ranked struct {
+	record Record
+	hash   uint64
+}
+
+// NewAssignment ranks the balancers of a view. Draining balancers take part
+// only while there is no other.
+func NewAssignment(view *View) *Assignment {
+	a := &Assignment{}
+	for _, record := range view.Balancers() {
+		if record.State != StateDraining {
+			a.balancers = append(a.balancers, ranked{record, nodeHash(record.Node)})
+		}
+	}
+	if len(a.balancers) == 0 {
+		for _, record := range view.Balancers() {
+			a.balancers = append(a.balancers, ranked{record, nodeHash(record.Node)})
+		}
+	}
+	slices.SortFunc(a.balancers, func(x, y ranked) int {
+		return cmp.Or(cmp.Compare(x.hash, y.hash), cmp.Compare(x.record.Node, y.record.Node))
+	})
+	return a
+}
+
+// Watchers returns the balancers that watch a node, by rendezvous hashing.
+func (a *Assignment) Watchers(node model.NodeID) []Record {
+	var (
+		best   [WatcherCount]int
+		scores [WatcherCount]uint64
+		count  int
+	)
+	hash := nodeHash(node)
+	for i, balancer := range a.balancers {
+		if balancer.record.Node == node {
+			continue
+		}
+		score := mix(hash, balancer.hash)
+		place := count
+		for place > 0 && score > scores[place-1] {
+			place--
+		}
+		if place == WatcherCount {
+			continue
+		}
+		count = min(count+1, WatcherCount)
+		copy(scores[place+1:], scores[place:])
+		copy(best[place+1:], best[place:])
+		scores[place], best[place] = score, i
+	}
+	watchers := make([]Record, count)
+	for i := range watchers {
+		watchers[i] = a.balancers[best[i]].record
+	}
+	return watchers
+}
+
+// Watches reports whether a balancer is one of a node's watchers.
+func (a *Assignment) Watches(balancer, node model.NodeID) bool {
+	return slices.ContainsFunc(a.Watchers(node), func(r Record) bool { return r.Node == balancer })
+}
+
+// The shape of the tree along which proofs of freshness travel.
+const (
+	// RootCount is the number of balancers that ask the platform themselves.
+	RootCount = 5
+	// treeFanout is the number of balancers that ask one other.
+	treeFanout = 4
+	// CollectorCount is the number of roots that ask a majority of the nodes
+	// while the platform is silent.
+	CollectorCount = 2
+)
+
+// Position returns the place of a balancer in the ranking, from 0, and false
+// when it has none.
+func (a *Assignment) Position(node model.NodeID) (int, bool) {
+	for i, balancer := range a.balancers {
+		if balancer.record.Node == node {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Parent returns the balancer that the one at a position asks for proof of
+// freshness, and false for a root.
+func (a *Assignment) Parent(position int) (Record, bool) {
+	if position < RootCount {
+		return Record{}, false
+	}
+	return a.balancers[(position-RootCount)/treeFanout].record, true
+}
+
+// ExpectedAge returns the age that the proof of the balancer at a position does
+// not pass while every balancer on the way to a root answers.
+func (a *Assignment) ExpectedAge(position int) time.Duration {
+	age := 2 * ProofInterval
+	for position >= RootCount {
+		position = (position - RootCount) / treeFanout
+		age += ProofInterval
+	}
+	return age
+}
+
+// Earlier returns one of the balancers that are placed before a position,
+// chosen by a number, and false for the first.
+func (a *Assignment) Earlier(position int, choice uint64) (Record, bool) {
+	if position == 0 {
+		return Record{}, false
+	}
+	return a.balancers[choice%uint64(position)].record, true
+}
+
+// Len returns the number of ranked balancers.
+func (a *Assignment) Len() int { return len(a.balancers) }
+
+// At returns the balancer at a position.
+func (a *Assignment) At(position int) Record { return a.balancers[position].record }
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -6,9 +6,14 @@
 import (
 	"net/netip"
 
+	"github.com/zeebo/errs"
+
 	"github.com/balsamlink/balsamlink/internal/model"
 )
 
+// Error is the class of all errors of this layer.
+var Error = errs.Class("membership")
+
 // State is what a node says of itself, or what others have found out.
 type State uint8
 
@@ -68,15 +73,54 @@
 	Slots uint16
 }
 
-// Newer reports whether r replaces other.
+// Newer reports whether r replaces other. Of two records with the same
+// incarnation and version the one with the later state is the newer, so that
+// every node decides alike when a node and its watcher write the same version.
 func (r Record) Newer(other Record) bool {
 	if r.Incarnation != other.Incarnation {
 		return r.Incarnation > other.Incarnation
 	}
-	return r.Version > other.Version
+	if r.Version != other.Version {
+		return r.Version > other.Version
+	}
+	return r.State > other.State
+}
+
+// Limits of the fields of a record.
+const (
+	maxNameSize = 64
+	// maxCounter leaves room above every accepted incarnation and version.
+	maxCounter = 1 << 62
+)
+
+// Validate tells which field of a record is not acceptable.
+func (r Record) Validate() error {
+	switch {
+	case r.Node == "" || len(r.Node) > maxNameSize:
+		return Error.New("node: length %d is not within 1 and %d", len(r.Node), maxNameSize)
+	case r.Role != RoleOf(r.Service):
+		return Error.New("role: %s does not fit service %q", r.Role, r.Service)
+	case r.State < StateStarting || r.State > StateDown:
+		return Error.New("state: %d is not known", r.State)
+	case r.Incarnation == 0 || r.Incarnation > maxCounter:
+		return Error.New("incarnation: %d is out of range", r.Incarnation)
+	case r.Version == 0 || r.Version > maxCounter:
+		return Error.New("version: %d is out of range", r.Version)
+	case len(r.Zone) > maxNameSize:
+		return Error.New("zone: longer than %d bytes", maxNameSize)
+	case len(r.Service) > maxNameSize:
+		return Error.New("service: longer than %d bytes", maxNameSize)
+	case !r.Control.IsValid() || r.Control.Port() == 0:
+		return Error.New("control: %s is not an address with a port", r.Control)
+	}
+	return nil
 }
 
-// View is an immutable set of records, in node order.
-type View struct {
-	Records []Record
+// RoleOf returns the role of a node that serves a service; a balancer serves
+// none.
+func RoleOf(service model.Service) model.Role {
+	if service == "" {
+		return model.RoleBalancer
+	}
+	return model.RoleAgent
 }
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,72 @@
+package membership
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// View is an immutable set of the nodes that run, in node order. No two of its
+// records have the same address.
+type View struct {
+	Records []Record
+}
+
+// Find returns the record of a node.
+func (v *View) Find(node model.NodeID) (Record, bool) {
+	i, found := slices.BinarySearchFunc(v.Records, node, func(r Record, id model.NodeID) int {
+		return cmp.Compare(r.Node, id)
+	})
+	if !found {
+		return Record{}, false
+	}
+	return v.Records[i], true
+}
+
+// Balancers returns the records of all balancers, in node order.
+func (v *View) Balancers() []Record {
+	var balancers []Record
+	for _, record := range v.Records {
+		if record.Role == model.RoleBalancer {
+			balancers = append(balancers, record)
+		}
+	}
+	return balancers
+}
+
+// newView keeps the running nodes that own their addresses.
+func newView(running []Record) *View {
+	slices.SortFunc(running, func(a, b Record) int { return cmp.Compare(a.Node, b.Node) })
+	control := owners(running, func(r Record) netip.AddrPort { return r.Control })
+	data := owners(running, func(r Record) netip.AddrPort { return r.Data })
+	kept := running[:0]
+	for _, record := range running {
+		if control[record.Control] == record.Node && ownsData(data, record) {
+			kept = append(kept, record)
+		}
+	}
+	return &View{Records: slices.Clip(kept)}
+}
+
+func ownsData(owner map[netip.AddrPort]model.NodeID, record Record) bool {
+	return !record.Data.IsValid() || owner[record.Data] == record.Node
+}
+
+// owners finds the node with the highest incarnation at each address. The
+// records are in node order, so a tie goes to the last name on every node.
+func owners(records []Record, address func(Record) netip.AddrPort) map[netip.AddrPort]model.NodeID {
+	best := make(map[netip.AddrPort]Record, len(records))
+	for _, record := range records {
+		addr := address(record)
+		if held, taken := best[addr]; !taken || record.Incarnation >= held.Incarnation {
+			best[addr] = record
+		}
+	}
+	owner := make(map[netip.AddrPort]model.NodeID, len(best))
+	for addr, record := range best {
+		owner[addr] = record.Node
+	}
+	return owner
+}
--- /dev/null
+++ b/internal/membership/watch.go
@@ -0,0 +1,184 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// Times of the watch over nodes.
+const (
+	// HeartbeatInterval is the time between two heartbeats to one watcher.
+	HeartbeatInterval = time.Second
+	// silenceLimit is the silence after which a watcher asks around.
+	silenceLimit = 1800 * time.Millisecond
+	// VouchLimit is the age up to which a heartbeat speaks for a node.
+	VouchLimit = 1500 * time.Millisecond
+	// assignGrace is the time a node gets to find a new watcher.
+	assignGrace = 4 * time.Second
+	// retryInterval is the time until a node that others vouch for is looked at
+	// again.
+	retryInterval = time.Second
+	// pauseLimit is the time between two ticks from which on this process must
+	// have been stopped, so that silence says nothing.
+	pauseLimit = time.Second
+	// isolationLimit is how long a balancer that hears nobody at all believes
+	// that the fault is its own.
+	isolationLimit = 30 * time.Second
+)
+
+// Watch decides which nodes are dead. A node is watched by the balancers that
+// rendezvous hashing names, whether or not it has ever spoken to them.
+type Watch struct {
+	self    model.NodeID
+	nodes   map[model.NodeID]*watched
+	started bool
+	ticked  Instant
+	// contact is when anyone was last heard.
+	contact Instant
+}
+
+type watched struct {
+	incarnation uint64
+	heard       Instant
+	assigned    bool
+	// spoken tells that heard is the time of a heartbeat.
+	spoken  bool
+	due     Instant
+	asking  bool
+	askedAt Instant
+}
+
+// Suspect is a node that was silent for too long. The caller asks the node and
+// its other watchers, and reports with Judge.
+type Suspect struct {
+	Node        model.NodeID
+	Incarnation uint64
+}
+
+// NewWatch makes a watch without nodes.
+func NewWatch(self model.NodeID) *Watch {
+	return &Watch{self: self, nodes: map[model.NodeID]*watched{}}
+}
+
+// Assign sets the nodes that this balancer watches.
+func (w *Watch) Assign(view *View, assignment *Assignment, now Instant) {
+	for _, held := range w.nodes {
+		held.assigned = false
+	}
+	for _, record := range view.Records {
+		if record.Node != w.self && assignment.Watches(w.self, record.Node) {
+			w.assign(record, now)
+		}
+	}
+	for node, held := range w.nodes {
+		if !held.assigned && now.Sub(held.heard) > assignGrace {
+			delete(w.nodes, node)
+		}
+	}
+}
+
+func (w *Watch) assign(record Record, now Instant) {
+	held := w.nodes[record.Node]
+	if held == nil || held.incarnation < record.Incarnation {
+		held = &watched{incarnation: record.Incarnation, heard: now, due: now.Add(assignGrace)}
+		w.nodes[record.Node] = held
+	}
+	held.assigned = true
+}
+
+// Heard notes a heartbeat of a node.
+func (w *Watch) Heard(node model.NodeID, incarnation uint64, now Instant) {
+	w.Contact(now)
+	held := w.nodes[node]
+	if held == nil {
+		if len(w.nodes) >= MaxRecords {
+			return
+		}
+		held = &watched{}
+		w.nodes[node] = held
+	}
+	if incarnation < held.incarnation {
+		return
+	}
+	held.incarnation = incarnation
+	held.heard = now
+	held.spoken = true
+	held.due = now.Add(silenceLimit)
+}
+
+// Contact notes that this node heard anything from any other.
+func (w *Watch) Contact(now Instant) { w.contact = now }
+
+// Vouch reports whether a heartbeat of the node came a short time ago.
+func (w *Watch) Vouch(node model.NodeID, now Instant) bool {
+	held := w.nodes[node]
+	return held != nil && held.spoken && now.Sub(held.heard) <= VouchLimit
+}
+
+// Watched returns the number of nodes that this balancer has to watch.
+func (w *Watch) Watched() int {
+	count := 0
+	for _, held := range w.nodes {
+		if held.assigned {
+			count++
+		}
+	}
+	return count
+}
+
+// Tick returns the nodes that have become suspect. It is called several times a
+// second; a gap tells that this process was stopped.
+func (w *Watch) Tick(now Instant) []Suspect {
+	paused := w.started && now.Sub(w.ticked) > pauseLimit
+	if !w.started || paused {
+		w.restart(now)
+	}
+	w.started, w.ticked = true, now
+	var suspects []Suspect
+	for node, held := range w.nodes {
+		if held.assigned && !held.asking && now > held.due {
+			held.asking, held.askedAt = true, now
+			suspects = append(suspects, Suspect{Node: node, Incarnation: held.incarnation})
+		}
+	}
+	return suspects
+}
+
+// restart gives every node its time again.
+func (w *Watch) restart(now Instant) {
+	w.contact = now
+	for _, held := range w.nodes {
+		held.due = max(held.due, now.Add(assignGrace))
+		held.spoken = false
+	}
+}
+
+// Judge decides after the answers about a suspect. It reports whether the node
+// is to be marked down.
+func (w *Watch) Judge(suspect Suspect, vouched bool, now Instant) bool {
+	held := w.nodes[suspect.Node]
+	if held == nil || !held.asking {
+		return false
+	}
+	held.asking = false
+	if now.Sub(w.ticked) > pauseLimit {
+		return false
+	}
+	if held.incarnation != suspect.Incarnation || held.heard > held.askedAt || held.due > held.askedAt {
+		return false
+	}
+	if vouched || w.isolated(now) {
+		held.due = now.Add(retryInterval)
+		return false
+	}
+	delete(w.nodes, suspect.Node)
+	return held.assigned
+}
+
+// isolated reports whether this balancer hears nobody, so that silence says
+// more about itself than about others.
+func (w *Watch) isolated(now Instant) bool {
+	silence := now.Sub(w.contact)
+	return silence > VouchLimit && silence < isolationLimit
+}
