Check the lists against the schema of their types

Lint must name the path, the value and what is allowed, in one form for schema and meaning. The contents are now decoded by strictjson and checked on in the same list of problems; amounts take the same 18 and 9 digits as the schema.

--- a/internal/plan/check.go
+++ b/internal/plan/check.go
@@ -2,15 +2,16 @@
 
 import (
 	"encoding/hex"
-	"errors"
 	"fmt"
-	"math"
 	"regexp"
+	"strconv"
 	"strings"
 	"unicode"
 	"unicode/utf8"
 
 	"github.com/shopspring/decimal"
+
+	"github.com/balsamlink/balsamlink/internal/strictjson"
 )
 
 // The limits of the operators' documents.
@@ -26,63 +27,37 @@
 	MaxRequestsPerSecond = 1e9
 	// MaxUnitsPerMonth bounds the units of one allowance.
 	MaxUnitsPerMonth = 1_000_000_000_000_000
-	// MaxMoneyDigits bounds the significant digits of a fee or price.
-	MaxMoneyDigits = 24
-	// MaxMoneyExponent and MinMoneyExponent bound the powers of ten of a fee or
-	// price.
-	MaxMoneyExponent = 12
-	MinMoneyExponent = -12
+	// MaxMoneyDigits and MaxMoneyPlaces bound the digits of a fee or price before
+	// and after its point.
+	MaxMoneyDigits = 18
+	MaxMoneyPlaces = 9
+)
+
+// What may stand in a field, in plain words.
+const (
+	nameForm   = "a printable name of 1 to 128 bytes without a space at its ends"
+	moneyForm  = "an amount from 0 with at most 18 digits before and 9 after the point"
+	usableForm = "at least 1 where units_per_month is not 0, since no request could be served otherwise"
+	listForm   = "a list, which may be empty"
 )
 
-// maxProblems bounds the problems that one error lists.
-const maxProblems = 50
+var moneyLimit = decimal.New(1, MaxMoneyDigits)
 
 // credentialSize is the length of a credential's hash, in hex digits.
 const credentialSize = 64
 
 var currencyPattern = regexp.MustCompile(`^[A-Z]{3}$`)
 
-// Problem is one offending field of a document.
-type Problem struct {
-	// Path leads to the field, as in "customers[3].plan".
-	Path   string `json:"path"`
-	Reason string `json:"reason"`
-}
-
-// CheckError lists the offending fields of a document, at most 50 of them.
-type CheckError struct {
-	Problems []Problem
-}
-
-// Error implements error.
-func (e *CheckError) Error() string {
-	lines := make([]string, len(e.Problems))
-	for i, problem := range e.Problems {
-		lines[i] = problem.Path + ": " + problem.Reason
-	}
-	return strings.Join(lines, "; ")
-}
-
-// Problems returns the offending fields of a CheckError, or nil for any other
-// error.
-func Problems(err error) []Problem {
-	var check *CheckError
-	if errors.As(err, &check) {
-		return check.Problems
-	}
-	return nil
-}
-
 // Check implements Content.
 func (c Customers) Check() error {
 	var found problems
 	if c.Customers == nil {
-		found.add("customers", "is missing")
+		found.add("customers", "missing", listForm)
 	}
 	names := firsts{}
 	credentials := firsts{}
 	for i, customer := range c.Customers {
-		path := fmt.Sprintf("customers[%d]", i)
+		path := strictjson.Index("customers", i)
 		found.name(path+".name", string(customer.Name))
 		found.unique(names, path+".name", string(customer.Name))
 		found.name(path+".plan", string(customer.Plan))
@@ -95,14 +70,14 @@
 func (p Plans) Check() error {
 	var found problems
 	if p.Plans == nil {
-		found.add("plans", "is missing")
+		found.add("plans", "missing", listForm)
 	}
 	if !currencyPattern.MatchString(p.Currency) {
-		found.add("currency", "is not an ISO 4217 code of three capital letters")
+		found.add("currency", strconv.Quote(p.Currency), "an ISO 4217 code of three capital letters")
 	}
 	names := firsts{}
 	for i, plan := range p.Plans {
-		path := fmt.Sprintf("plans[%d]", i)
+		path := strictjson.Index("plans", i)
 		found.name(path+".name", string(plan.Name))
 		found.unique(names, path+".name", string(plan.Name))
 		found.money(path+".monthly_fee", plan.MonthlyFee)
@@ -116,13 +91,13 @@
 	var found problems
 	zones := firsts{}
 	for i, zone := range o.Zones {
-		path := fmt.Sprintf("zones[%d]", i)
+		path := strictjson.Index("zones", i)
 		found.name(path, string(zone))
 		found.unique(zones, path, string(zone))
 	}
 	targets := firsts{}
 	for i, target := range o.Targets {
-		path := fmt.Sprintf("targets[%d]", i)
+		path := strictjson.Index("targets", i)
 		found.name(path, string(target))
 		found.unique(targets, path, string(target))
 	}
@@ -139,8 +114,8 @@
 	var found problems
 	for i, customer := range customers.Customers {
 		if _, ok := known[customer.Plan]; !ok {
-			reason := fmt.Sprintf("plan %q of customer %q is not in the list of plans", customer.Plan, customer.Name)
-			found.add(fmt.Sprintf("customers[%d].plan", i), reason)
+			path := strictjson.Index("customers", i) + ".plan"
+			found.add(path, strconv.Quote(string(customer.Plan)), "a plan in the list of plans")
 		}
 	}
 	return found.err()
@@ -149,42 +124,38 @@
 // firsts maps each value to the path where it first stood.
 type firsts map[string]string
 
+// problems collects the faults of a content. Its error wraps
+// *strictjson.Problems.
 type problems struct {
-	list []Problem
+	list strictjson.Problems
 }
 
-func (p *problems) add(path, reason string) {
-	if len(p.list) < maxProblems {
-		p.list = append(p.list, Problem{Path: path, Reason: reason})
-	}
+func (p *problems) add(path, value, allowed string) {
+	p.list.Add(strictjson.Problem{Path: path, Value: value, Allowed: allowed})
 }
 
-func (p *problems) err() error {
-	if len(p.list) == 0 {
-		return nil
+func (p *problems) err() error { return Error.Wrap(p.list.Err()) }
+
+func (p *problems) name(path, name string) {
+	if !nameAllowed(name) {
+		p.add(path, strconv.Quote(name), nameForm)
 	}
-	return Error.Wrap(&CheckError{Problems: p.list})
 }
 
-func (p *problems) name(path, name string) {
-	switch {
-	case name == "":
-		p.add(path, "is empty")
-	case len(name) > MaxNameSize:
-		p.add(path, fmt.Sprintf("is longer than %d bytes", MaxNameSize))
-	case !utf8.ValidString(name):
-		p.add(path, "is not valid UTF-8")
-	case strings.TrimSpace(name) != name:
-		p.add(path, "begins or ends with a space")
-	case strings.ContainsFunc(name, func(r rune) bool { return !unicode.IsPrint(r) }):
-		p.add(path, "holds a character that cannot be printed")
+func nameAllowed(name string) bool {
+	if name == "" || len(name) > MaxNameSize || !utf8.ValidString(name) {
+		return false
+	}
+	if strings.TrimSpace(name) != name {
+		return false
 	}
+	return !strings.ContainsFunc(name, func(r rune) bool { return !unicode.IsPrint(r) })
 }
 
 func (p *problems) unique(seen firsts, path, value string) {
 	first, taken := seen[value]
 	if taken {
-		p.add(path, fmt.Sprintf("%q stands already at %s", value, first))
+		p.add(path, strconv.Quote(value), "a value that does not stand already at "+first)
 		return
 	}
 	seen[value] = path
@@ -192,13 +163,13 @@
 
 func (p *problems) credentials(seen firsts, path string, hashes []string) {
 	if len(hashes) > MaxCredentials {
-		p.add(path, fmt.Sprintf("lists more than %d credentials", MaxCredentials))
+		p.add(path, fmt.Sprintf("%d credentials", len(hashes)), fmt.Sprintf("at most %d credentials", MaxCredentials))
 		return
 	}
 	for i, hash := range hashes {
-		at := fmt.Sprintf("%s[%d]", path, i)
+		at := strictjson.Index(path, i)
 		if _, err := hex.DecodeString(hash); err != nil || len(hash) != credentialSize {
-			p.add(at, fmt.Sprintf("is not %d hex digits", credentialSize))
+			p.add(at, strconv.Quote(hash), fmt.Sprintf("the SHA-256 hash of a token, as %d hex digits", credentialSize))
 			continue
 		}
 		p.unique(seen, at, strings.ToLower(hash))
@@ -208,12 +179,13 @@
 func (p *problems) allowances(path string, allowances []Allowance) {
 	services := firsts{}
 	for i, allowance := range allowances {
-		at := fmt.Sprintf("%s[%d]", path, i)
+		at := strictjson.Index(path, i)
 		p.name(at+".service", string(allowance.Service))
 		p.unique(services, at+".service", string(allowance.Service))
 		p.rate(at+".requests_per_second", allowance.RequestsPerSecond)
 		if allowance.UnitsPerMonth > MaxUnitsPerMonth {
-			p.add(at+".units_per_month", fmt.Sprintf("is above %d", uint64(MaxUnitsPerMonth)))
+			value := strconv.FormatUint(allowance.UnitsPerMonth, 10)
+			p.add(at+".units_per_month", value, fmt.Sprintf("at most %d", uint64(MaxUnitsPerMonth)))
 		}
 		p.money(at+".unit_price", allowance.UnitPrice)
 		p.usable(at, allowance)
@@ -226,33 +198,33 @@
 		return
 	}
 	if allowance.Burst == 0 {
-		p.add(path+".burst", "is 0 while units_per_month is not; no request could be served")
+		p.add(path+".burst", "0", usableForm)
 	}
 	if allowance.InFlight == 0 {
-		p.add(path+".in_flight", "is 0 while units_per_month is not; no request could be served")
+		p.add(path+".in_flight", "0", usableForm)
+	}
+	if allowance.RequestsPerSecond == 0 {
+		p.add(path+".requests_per_second", "0", usableForm)
 	}
 }
 
 func (p *problems) rate(path string, rate float64) {
-	switch {
-	case math.IsNaN(rate) || math.IsInf(rate, 0):
-		p.add(path, "is not a finite number")
-	case rate < 0:
-		p.add(path, "is negative")
-	case rate > MaxRequestsPerSecond:
-		p.add(path, fmt.Sprintf("is above %g", float64(MaxRequestsPerSecond)))
+	if rate >= 0 && rate <= MaxRequestsPerSecond {
+		return
 	}
+	value := strconv.FormatFloat(rate, 'g', -1, 64)
+	p.add(path, value, fmt.Sprintf("a number from 0 to %g", float64(MaxRequestsPerSecond)))
 }
 
 // money bounds the exponent before anything else, since the cost of working
 // with a decimal follows its exponent.
 func (p *problems) money(path string, amount decimal.Decimal) {
 	switch {
-	case amount.Exponent() > MaxMoneyExponent || amount.Exponent() < MinMoneyExponent:
-		p.add(path, fmt.Sprintf("has a power of ten outside %d to %d", MinMoneyExponent, MaxMoneyExponent))
-	case amount.NumDigits() > MaxMoneyDigits:
-		p.add(path, fmt.Sprintf("has more than %d digits", MaxMoneyDigits))
-	case amount.IsNegative():
-		p.add(path, "is negative")
+	case amount.Exponent() > MaxMoneyDigits || amount.Exponent() < -MaxMoneyPlaces:
+		p.add(path, "an amount with the exponent "+strconv.Itoa(int(amount.Exponent())), moneyForm)
+	case amount.NumDigits() > MaxMoneyDigits+MaxMoneyPlaces:
+		p.add(path, fmt.Sprintf("an amount of %d digits", amount.NumDigits()), moneyForm)
+	case amount.IsNegative() || amount.GreaterThanOrEqual(moneyLimit):
+		p.add(path, amount.String(), moneyForm)
 	}
 }
--- a/internal/plan/document.go
+++ b/internal/plan/document.go
@@ -3,10 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"time"
 
 	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/strictjson"
 )
 
 // Document is one accepted version of one of the operators' documents.
@@ -82,7 +82,8 @@
 }
 
 // DecodeContent decodes and checks the content of a document, which is also
-// the form of the operators' files.
+// the form of the operators' files. Errors about fields wrap
+// *strictjson.Problems.
 func DecodeContent(kind model.DocumentKind, body []byte) (Content, error) {
 	switch kind {
 	case model.DocumentCustomers:
@@ -118,17 +119,9 @@
 }
 
 func decodeContent[T Content](body []byte) (Content, error) {
-	var content T
-	if len(body) > MaxDocumentSize {
-		return nil, Error.New("%s: list of %d bytes is larger than %d", content.Kind(), len(body), MaxDocumentSize)
-	}
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&content); err != nil {
-		return nil, Error.New("%s: %v", content.Kind(), err)
-	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return nil, Error.New("%s: data follows the end of the list", content.Kind())
+	content, err := strictjson.Decode[T](body)
+	if err != nil {
+		return nil, Error.New("%s: %w", content.Kind(), err)
 	}
 	if err := content.Check(); err != nil {
 		return nil, err
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/strictjson"
 )
 
 func hash(digit string) string { return strings.Repeat(digit, credentialSize) }
@@ -71,9 +72,10 @@
 	} {
 		err := content.Check()
 		require.Error(t, err, path)
-		problems := Problems(err)
-		require.Len(t, problems, 1, path)
-		require.True(t, strings.HasPrefix(problems[0].Path, path), "%s: %v", path, problems)
+		var problems *strictjson.Problems
+		require.ErrorAs(t, err, &problems, path)
+		require.Len(t, problems.List, 1, path)
+		require.True(t, strings.HasPrefix(problems.List[0].Path, path), "%s: %v", path, problems)
 	}
 	oversized := make([]byte, MaxDocumentSize+1)
 	_, err := DecodeDocument(model.DocumentPlans, oversized)
--- /dev/null
+++ b/internal/plan/size_test.go
@@ -0,0 +1,36 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// fullList returns a list of n customers with one credential each.
+func fullList(n int) Customers {
+	list := Customers{}
+	for i := range n {
+		name := model.Customer(fmt.Sprintf("customer-%05d", i))
+		list.Customers = append(list.Customers, Customer{Name: name, Plan: "studio", CredentialSHA256: []string{fmt.Sprintf("%064x", i)}})
+	}
+	return list
+}
+
+// BenchmarkDecodeDocument is what a node does with a newly accepted document.
+func BenchmarkDecodeDocument(b *testing.B) {
+	for _, n := range []int{100, 7000} {
+		document := Document{Header: Header{Revision: 1, ChangeID: "c"}, Content: fullList(n)}
+		body, err := document.Encode()
+		require.NoError(b, err)
+		b.Run(fmt.Sprintf("customers=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				_, err := DecodeDocument(model.DocumentCustomers, body)
+				require.NoError(b, err)
+			}
+			b.ReportMetric(float64(len(body))/float64(n), "bytes/customer")
+		})
+	}
+}
--- a/internal/plan/types.go
+++ b/internal/plan/types.go
@@ -31,11 +31,11 @@
 
 // Customer is one customer and the plan that it is on.
 type Customer struct {
-	Name model.Customer `json:"name"`
-	Plan Name           `json:"plan"`
+	Name model.Customer `json:"name" jsonschema:"minLength=1"`
+	Plan Name           `json:"plan" jsonschema:"minLength=1"`
 	// CredentialSHA256 holds the hex SHA-256 hashes of the bearer tokens that
 	// the customer's callers present.
-	CredentialSHA256 []string `json:"credential_sha256"`
+	CredentialSHA256 []string `json:"credential_sha256" jsonschema:"maxItems=64,pattern=^[0-9A-Fa-f]{64}$"`
 }
 
 // Name names a plan.
@@ -44,13 +44,13 @@
 // Plans is the list of plans.
 type Plans struct {
 	// Currency is the ISO 4217 code of all prices in the list.
-	Currency string `json:"currency"`
+	Currency string `json:"currency" jsonschema:"pattern=^[A-Z]{3}$"`
 	Plans    []Plan `json:"plans"`
 }
 
 // Plan is what its customers may use and what it costs.
 type Plan struct {
-	Name Name `json:"name"`
+	Name Name `json:"name" jsonschema:"minLength=1"`
 	// MonthlyFee is billed whatever is used.
 	MonthlyFee decimal.Decimal `json:"monthly_fee"`
 	Allowances []Allowance     `json:"allowances"`
@@ -59,8 +59,8 @@
 // Allowance is what a plan allows of one service. A service without an
 // allowance may not be used.
 type Allowance struct {
-	Service           model.Service `json:"service"`
-	RequestsPerSecond float64       `json:"requests_per_second"`
+	Service           model.Service `json:"service" jsonschema:"minLength=1"`
+	RequestsPerSecond float64       `json:"requests_per_second" jsonschema:"minimum=0,maximum=1000000000"`
 	// Burst is the number of requests that may come at once after a quiet time.
 	Burst uint32 `json:"burst"`
 	// InFlight is the number of requests that may be open at once.
