Add the allowance client of the agent and the pure ledger

Cause: an agent must know before each request whether the customer's plan bears one more, across all nodes. Ruled out: asking the platform for each request, whose calls follow customers.

--- /dev/null
+++ b/internal/ledger/ceilings.go
@@ -0,0 +1,86 @@
+package ledger
+
+import "slices"
+
+// ceilingWriter follows the one open write of the ceilings.
+type ceilingWriter struct {
+	write uint64
+	open  bool
+}
+
+// CeilingsDue reports whether a write of the ceilings would help.
+func (s *Shard) CeilingsDue() bool {
+	if s.ceilings.open {
+		return false
+	}
+	for _, units := range s.units {
+		if units.raise {
+			return true
+		}
+	}
+	return false
+}
+
+// ProposeCeilings returns the next document to write. Until its outcome is
+// told, the lower of the old and the new ceilings holds.
+func (s *Shard) ProposeCeilings(now Moment, terms Terms) Ceilings {
+	s.ceilings.write++
+	s.ceilings.open = true
+	doc := Ceilings{Fence: s.fence, Write: s.ceilings.write, Closed: s.closed}
+	for _, key := range s.unitKeys() {
+		units := s.units[key]
+		units.raise = false
+		if key.Month <= s.closed {
+			continue
+		}
+		units.proposed = s.ceilingFor(terms, key, units)
+		doc.Ceilings = append(doc.Ceilings, Ceiling{
+			Month: key.Month, Customer: key.Account.Customer, Service: key.Account.Service, Units: units.proposed,
+		})
+	}
+	return doc
+}
+
+func (s *Shard) unitKeys() []unitKey {
+	keys := make([]unitKey, 0, len(s.units))
+	for key := range s.units {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b unitKey) int {
+		if a.Month != b.Month {
+			return int(a.Month) - int(b.Month)
+		}
+		return compareAccounts(a.Account, b.Account)
+	})
+	return keys
+}
+
+func (s *Shard) ceilingFor(terms Terms, key unitKey, units *unitState) uint64 {
+	allowance, allowed := terms.Allowances.Allowance(key.Account.Customer, key.Account.Service)
+	if s.closing || !allowed {
+		return units.committed
+	}
+	return max(units.committed, min(units.committed+ahead(allowance), allowance.UnitsPerMonth))
+}
+
+// CeilingsWritten tells that the proposed document is persistent.
+func (s *Shard) CeilingsWritten() {
+	s.ceilings.open = false
+	for _, units := range s.units {
+		units.ceiling = units.proposed
+	}
+}
+
+// CeilingsFailed tells that the proposed document was not written and never
+// will be.
+func (s *Shard) CeilingsFailed() {
+	s.ceilings.open = false
+	for _, units := range s.units {
+		units.raise = units.raise || units.proposed > units.ceiling
+		units.proposed = units.ceiling
+	}
+}
+
+// Close ends all grants of units. The next document that is proposed lowers the
+// ceilings to what was granted.
+func (s *Shard) Close() { s.closing = true }
--- /dev/null
+++ b/internal/ledger/grant.go
@@ -0,0 +1,146 @@
+package ledger
+
+import (
+	"math"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/plan"
+)
+
+const (
+	// aheadFraction is the part of a month's units that a keeper reserves in the
+	// platform beyond what it has granted: 1/aheadFraction.
+	aheadFraction = 400
+	// sliceFraction bounds one slice to 1/sliceFraction of a month's units.
+	sliceFraction = 2000
+	// lastFraction bounds one slice to 1/lastFraction of the units that remain.
+	lastFraction = 4
+	// scarceFraction marks units as scarce below 1/scarceFraction of the month.
+	scarceFraction = 200
+
+	minRetry   = 50 * time.Millisecond
+	unitsRetry = time.Second
+)
+
+// ahead returns how many units a keeper reserves beyond what it has granted.
+func ahead(a plan.Allowance) uint64 {
+	return max(a.UnitsPerMonth/aheadFraction, uint64(math.Ceil(a.RequestsPerSecond)), 1)
+}
+
+func (s *Shard) grant(now Moment, terms Terms, node model.NodeID, agent *agentState, want Want) Grant {
+	grant := Grant{Month: want.Month, Account: want.Account}
+	allowance, allowed := terms.Allowances.Allowance(want.Account.Customer, want.Account.Service)
+	if !allowed {
+		return s.refuse(node, grant)
+	}
+	rate := s.rate(now, want.Account)
+	if rate == nil {
+		grant.Refused = ReasonBusy
+		grant.RetryAfterMS = milliseconds(unitsRetry)
+		return grant
+	}
+	grant.PlanUnits = allowance.UnitsPerMonth
+	agents := float64(max(terms.Agents(want.Account.Service), 1))
+	grant.ShareRate = float32(allowance.RequestsPerSecond / agents)
+	grant.ShareSlots = uint32(float64(allowance.InFlight) / agents)
+	s.grantTokens(now, allowance, rate, agent, want, &grant)
+	s.grantSlots(now, allowance, rate, node, want, &grant)
+	s.grantUnits(now, allowance, want, &grant)
+	return grant
+}
+
+// refuse answers a want that no plan allows.
+func (s *Shard) refuse(node model.NodeID, grant Grant) Grant {
+	grant.Refused = ReasonNoAllowance
+	grant.RetryAfterMS = milliseconds(unitsRetry)
+	if rate := s.rates[grant.Account]; rate != nil {
+		rate.lease(node, 0)
+	}
+	return grant
+}
+
+func (s *Shard) grantTokens(
+	now Moment, a plan.Allowance, rate *rateState, agent *agentState, want Want, grant *Grant,
+) {
+	term := tokenTerm(a)
+	if agent.seq > 0 && now.At.Sub(agent.seen) <= term+returnDelay {
+		rate.bucket.putBack(now.At, a, want.TokensBack)
+	}
+	grant.TermMS = milliseconds(term)
+	grant.Tokens = rate.bucket.take(now.At, a, want.Tokens)
+	if want.Tokens > 0 && grant.Tokens == 0 {
+		grant.Refused = ReasonRate
+		grant.RetryAfterMS = milliseconds(max(rate.bucket.nextToken(a), minRetry))
+	}
+}
+
+func (s *Shard) grantSlots(
+	now Moment, a plan.Allowance, rate *rateState, node model.NodeID, want Want, grant *Grant,
+) {
+	if rate.slots[node] == 0 && want.Held > 0 {
+		rate.lease(node, min(want.Held, a.InFlight))
+	}
+	held := rate.slots[node]
+	limit := max(a.InFlight, rate.leased) - rate.leased + held
+	if s.learning(now) {
+		limit = min(limit, max(held, grant.ShareSlots, 1))
+	}
+	rate.lease(node, min(want.Slots, limit))
+	grant.Slots = rate.slots[node]
+	grant.Scarce = rate.leased >= a.InFlight
+	if grant.Slots < want.Slots && grant.Slots <= want.Held {
+		grant.Refused = ReasonInFlight
+		grant.RetryAfterMS = milliseconds(minRetry)
+	}
+}
+
+// learning reports whether agents may still hold slots of an earlier keeper
+// that this one does not know of.
+func (s *Shard) learning(now Moment) bool {
+	return s.fence > firstFence && now.At.Sub(s.started) < learnTime
+}
+
+func (s *Shard) grantUnits(now Moment, a plan.Allowance, want Want, grant *Grant) {
+	if !s.open(now, want.Month) {
+		grant.Refused = ReasonClock
+		grant.RetryAfterMS = milliseconds(unitsRetry)
+		return
+	}
+	units := s.unit(want.Month, want.Account)
+	if units == nil {
+		grant.Refused = ReasonBusy
+		grant.RetryAfterMS = milliseconds(unitsRetry)
+		return
+	}
+	grant.Units = s.take(units, a, want.Units)
+	remaining := a.UnitsPerMonth - min(units.committed, a.UnitsPerMonth)
+	if remaining < a.UnitsPerMonth/scarceFraction {
+		grant.Scarce = true
+	}
+	exhausted := want.Units > 0 && grant.Units == 0
+	if exhausted || units.committed > a.UnitsPerMonth {
+		grant.Refused = ReasonUnits
+		grant.RetryAfterMS = milliseconds(unitsRetry)
+	}
+}
+
+// take commits up to want units and returns how many.
+func (s *Shard) take(units *unitState, a plan.Allowance, want uint32) uint32 {
+	remaining := a.UnitsPerMonth - min(units.committed, a.UnitsPerMonth)
+	slice := max(a.UnitsPerMonth/sliceFraction, uint64(math.Ceil(a.RequestsPerSecond)), 1)
+	slice = min(slice, max(remaining/lastFraction, 1))
+	got := min(uint64(want), slice, units.free(a.UnitsPerMonth))
+	if s.closing {
+		got = 0
+	}
+	units.committed += got
+	if units.free(a.UnitsPerMonth) < ahead(a)/2 && units.ceiling < a.UnitsPerMonth {
+		units.raise = true
+	}
+	return uint32(got)
+}
+
+func milliseconds(d time.Duration) uint32 {
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
+}
--- /dev/null
+++ b/internal/ledger/holding.go
@@ -0,0 +1,232 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+const (
+	// unitHorizon is how far ahead an agent asks for units, and scarceHorizon
+	// the same when few are left.
+	unitHorizon   = 10 * time.Second
+	scarceHorizon = 500 * time.Millisecond
+	// idleTime is how long an unused holding keeps its units.
+	idleTime = 5 * time.Second
+	// refillGuard is the time before the tokens run out at which more are asked.
+	refillGuard = 50 * time.Millisecond
+	// shareBurst is the number of tokens that the share of an agent without a
+	// keeper may save up.
+	shareBurst = 1
+	maxWaiting = 256
+)
+
+// holding is what an agent has of one account.
+type holding struct {
+	account Account
+	month   Month
+	units   uint64
+	// planUnits is the monthly allowance that the units were granted under.
+	planUnits uint64
+	tokens    tokens
+	// tokensBack is the number of tokens to give back.
+	tokensBack uint32
+	term       time.Duration
+	held       uint32
+	open       uint32
+	waiting    uint32
+	scarce     bool
+
+	demand demand
+	peak   peak
+	used   model.Instant
+	// synced is the fence of the keeper that knows the held slots.
+	synced Fence
+
+	refused Reason
+	retryAt model.Instant
+
+	shareRate  float64
+	shareSlots uint32
+	share      bucket
+
+	uses map[Month]*Use
+}
+
+func newHolding(account Account) *holding {
+	return &holding{account: account, term: minTerm, uses: map[Month]*Use{}}
+}
+
+func (h *holding) use(month Month) *Use {
+	use := h.uses[month]
+	if use == nil {
+		use = &Use{Month: month, Account: h.account}
+		h.uses[month] = use
+	}
+	return use
+}
+
+// giveBack returns all but keep units to the keeper.
+func (h *holding) giveBack(keep uint64) {
+	if h.units > keep {
+		h.use(h.month).Returned += h.units - keep
+		h.units = keep
+	}
+}
+
+// advance drops what has expired.
+func (h *holding) advance(now Moment) {
+	month := MonthOf(now.Wall)
+	if month != h.month {
+		h.giveBack(0)
+		h.month = month
+	}
+	h.tokensBack += h.tokens.expire(now.At)
+	h.peak.see(now.At, h.open)
+}
+
+// missing returns what the next request lacks, or ReasonNone.
+func (h *holding) missing() Reason {
+	switch {
+	case h.units == 0:
+		return ReasonUnits
+	case h.open >= h.held:
+		return ReasonInFlight
+	case h.tokens.count() == 0:
+		return ReasonRate
+	default:
+		return ReasonNone
+	}
+}
+
+// borrow admits a request by the share of an agent whose keeper is not
+// reachable. It needs a unit in hand.
+func (h *holding) borrow(now model.Instant) bool {
+	h.share.level = min(h.share.level+h.shareRate*now.Sub(h.share.filled).Seconds(), shareBurst)
+	h.share.filled = now
+	if h.units == 0 || h.open >= max(h.held, h.shareSlots) {
+		return false
+	}
+	if _, ok := h.tokens.take(); ok {
+		return true
+	}
+	if h.share.level < 1 {
+		return false
+	}
+	h.share.level--
+	return true
+}
+
+func (h *holding) admit(now model.Instant, until model.Instant) Permit {
+	h.units--
+	h.open++
+	h.peak.see(now, h.open)
+	return Permit{Account: h.account, Month: h.month, until: until}
+}
+
+// horizon returns how far ahead units are asked for.
+func (h *holding) horizon() time.Duration {
+	if h.scarce {
+		return scarceHorizon
+	}
+	return unitHorizon
+}
+
+// tokensWanted returns the number of tokens to ask for.
+func (h *holding) tokensWanted(now model.Instant) uint32 {
+	target := h.waiting + h.demand.within(now, h.term)
+	return target - min(target, h.tokens.count())
+}
+
+// tokensShort reports whether the tokens run out soon.
+func (h *holding) tokensShort(now model.Instant) bool {
+	if h.demand.within(now, h.term) == 0 {
+		return false
+	}
+	return h.tokens.count() <= h.demand.within(now, refillGuard)
+}
+
+// unitsWanted returns the number of units to ask for.
+func (h *holding) unitsWanted(now model.Instant) uint32 {
+	target := uint64(h.waiting + h.demand.within(now, h.horizon()))
+	if h.units >= uint64(h.waiting) && h.units > target/2 {
+		return 0
+	}
+	return uint32(target - min(target, h.units))
+}
+
+// returnSurplus gives back the units that are not needed.
+func (h *holding) returnSurplus(now model.Instant) {
+	target := uint64(h.waiting + h.demand.within(now, h.horizon()))
+	idle := now.Sub(h.used) > idleTime
+	if idle || h.units > 2*target+1 && h.scarce {
+		h.giveBack(target)
+	}
+}
+
+// slotsWanted returns the number of in-flight slots to have.
+func (h *holding) slotsWanted() uint32 {
+	wanted := h.open + h.waiting
+	if h.scarce {
+		return wanted
+	}
+	return max(wanted, h.peak.value)
+}
+
+// urgent reports whether a request waits and the keeper may be asked now.
+func (h *holding) urgent(now model.Instant) bool { return h.waiting > 0 && now >= h.retryAt }
+
+// due reports whether the keeper should be told or asked something now.
+func (h *holding) due(now model.Instant) bool {
+	if h.urgent(now) || h.tokensBack > 0 {
+		return true
+	}
+	if now < h.retryAt {
+		return false
+	}
+	return h.tokensShort(now) || h.slotsWanted() < h.held
+}
+
+// want forms the part of the next request that speaks of this holding.
+func (h *holding) want(now model.Instant) Want {
+	want := Want{Month: h.month, Account: h.account, TokensBack: h.tokensBack, Slots: h.slotsWanted()}
+	if now >= h.retryAt {
+		want.Tokens = h.tokensWanted(now)
+		want.Units = h.unitsWanted(now)
+	}
+	want.Held = h.held
+	h.tokensBack = 0
+	h.held = min(h.held, want.Slots)
+	return want
+}
+
+// apply takes a grant that answers a request first sent at a time.
+func (h *holding) apply(now Moment, sent model.Instant, grant Grant) {
+	h.take(grant)
+	h.term = time.Duration(grant.TermMS) * time.Millisecond
+	h.tokens.add(grant.Tokens, sent.Add(h.term))
+	h.held = grant.Slots
+	h.scarce = grant.Scarce
+	h.shareRate = float64(grant.ShareRate)
+	h.shareSlots = grant.ShareSlots
+	h.refused = grant.Refused
+	h.retryAt = 0
+	if grant.Refused != ReasonNone {
+		h.retryAt = now.At.Add(time.Duration(grant.RetryAfterMS) * time.Millisecond)
+	}
+}
+
+// take adds granted units. Units of a plan that was lowered below what is
+// granted are given back.
+func (h *holding) take(grant Grant) {
+	if grant.Month != h.month {
+		h.use(grant.Month).Returned += uint64(grant.Units)
+		return
+	}
+	h.units += uint64(grant.Units)
+	lowered := grant.Refused == ReasonUnits && grant.PlanUnits < h.planUnits
+	if lowered || grant.Refused == ReasonNoAllowance {
+		h.giveBack(0)
+	}
+	h.planUnits = grant.PlanUnits
+}
--- /dev/null
+++ b/internal/ledger/report.go
@@ -0,0 +1,86 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// reportInterval is how long a served unit may wait before it is reported.
+const reportInterval = time.Second
+
+// report is the newest report of a session. The next one is formed after it
+// was acknowledged.
+type report struct {
+	number       uint64
+	acknowledged uint64
+	uses         []Use
+	// told is the fence of the keeper that has the report.
+	told Fence
+	// formed is when the report was made.
+	formed model.Instant
+}
+
+func (s *session) reportDue(now model.Instant, closing bool) bool {
+	if s.report.number > s.report.acknowledged {
+		return s.report.told != s.fence
+	}
+	if now.Sub(s.report.formed) < reportInterval && !closing {
+		return false
+	}
+	for _, holding := range s.holdings {
+		if len(holding.uses) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *session) attachReport(now model.Instant, request *Request) {
+	if s.report.number == s.report.acknowledged {
+		s.formReport(now)
+	}
+	if s.report.number == s.report.acknowledged || s.report.told == s.fence && s.fence != 0 {
+		return
+	}
+	request.Report = s.report.number
+	request.Uses = s.report.uses
+}
+
+func (s *session) formReport(now model.Instant) {
+	uses := s.pendingUses()
+	if len(uses) == 0 {
+		return
+	}
+	s.report.number++
+	s.report.uses = uses
+	s.report.told = 0
+	s.report.formed = now
+}
+
+func (s *session) pendingUses() []Use {
+	var uses []Use
+	for _, account := range sortedAccounts(s.holdings) {
+		holding := s.holdings[account]
+		for month, use := range holding.uses {
+			if len(uses) == MaxUses {
+				break
+			}
+			uses = append(uses, *use)
+			delete(holding.uses, month)
+		}
+	}
+	slices.SortStableFunc(uses, func(a, b Use) int { return compareAccounts(a.Account, b.Account) })
+	return uses
+}
+
+func (s *session) noteReport(reply Reply, request Request) {
+	if request.Report != 0 {
+		s.report.told = reply.Fence
+	}
+	if reply.Acknowledged >= s.report.number {
+		s.report.acknowledged = s.report.number
+		s.report.uses = nil
+	}
+}
--- /dev/null
+++ b/internal/ledger/totals.go
@@ -0,0 +1,151 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+const (
+	secondsPerHour = 3600
+	// countedHours is how long the newest report of a silent agent is kept.
+	countedHours = 24
+)
+
+// totals are the served units of a shard with the reports that are in them.
+type totals struct {
+	month    Month
+	used     map[Account]uint64
+	previous map[Account]uint64
+	counted  map[model.NodeID]Counted
+	write    uint64
+	// uncounted is the number of units in reports that could not be counted
+	// without the risk of counting them twice.
+	uncounted uint64
+}
+
+func totalsOf(doc Metering) totals {
+	t := totals{
+		month:    doc.Month,
+		used:     unitsOf(doc.Used),
+		previous: unitsOf(doc.Previous),
+		counted:  map[model.NodeID]Counted{},
+		write:    doc.Write,
+	}
+	for _, counted := range doc.Reports {
+		t.counted[counted.Node] = counted
+	}
+	return t
+}
+
+func unitsOf(list []Total) map[Account]uint64 {
+	units := map[Account]uint64{}
+	for _, total := range list {
+		units[Account{Customer: total.Customer, Service: total.Service}] = total.Units
+	}
+	return units
+}
+
+func (t totals) clone() totals {
+	t.used = maps.Clone(t.used)
+	t.previous = maps.Clone(t.previous)
+	t.counted = maps.Clone(t.counted)
+	return t
+}
+
+// covers reports whether a report is counted already.
+func (t *totals) covers(c Counted) bool {
+	counted := t.counted[c.Node]
+	if c.Incarnation != counted.Incarnation {
+		return c.Incarnation < counted.Incarnation
+	}
+	return c.Report <= counted.Report
+}
+
+// follows reports whether a report is the next one of its agent. After the
+// record of an agent was forgotten, nobody can tell which reports are counted.
+func (t *totals) follows(c Counted) bool {
+	counted := t.counted[c.Node]
+	if c.Incarnation != counted.Incarnation {
+		return c.Report == 1
+	}
+	return c.Report == counted.Report+1
+}
+
+// count adds a report and returns whether its uses were taken.
+func (t *totals) count(report stagedReport, last Month) bool {
+	next := t.follows(report.counted)
+	t.counted[report.counted.Node] = report.counted
+	for _, use := range report.uses {
+		if !next || !t.add(use, last) {
+			t.uncounted += use.Served
+		}
+	}
+	return next
+}
+
+func (t *totals) add(use Use, last Month) bool {
+	if use.Month > last {
+		return false
+	}
+	t.roll(use.Month)
+	switch use.Month {
+	case t.month:
+		addUnits(t.used, use)
+	case t.month - 1:
+		addUnits(t.previous, use)
+	default:
+		return use.Served == 0
+	}
+	return true
+}
+
+func addUnits(units map[Account]uint64, use Use) {
+	if use.Served > 0 {
+		units[use.Account] += use.Served
+	}
+}
+
+// roll starts a new month.
+func (t *totals) roll(month Month) {
+	if month <= t.month {
+		return
+	}
+	t.previous = map[Account]uint64{}
+	if month == t.month+1 {
+		t.previous = t.used
+	}
+	t.used = map[Account]uint64{}
+	t.month = month
+}
+
+func (t *totals) forget(hour uint32) {
+	for node, counted := range t.counted {
+		if counted.Hour+countedHours < hour {
+			delete(t.counted, node)
+		}
+	}
+}
+
+func (t *totals) document(fence Fence) Metering {
+	doc := Metering{
+		Month:    t.month,
+		Used:     listOf(t.used),
+		Previous: listOf(t.previous),
+		Fence:    fence,
+		Write:    t.write,
+	}
+	for _, node := range slices.Sorted(maps.Keys(t.counted)) {
+		doc.Reports = append(doc.Reports, t.counted[node])
+	}
+	return doc
+}
+
+func listOf(units map[Account]uint64) []Total {
+	list := []Total{}
+	for _, account := range sortedAccounts(units) {
+		list = append(list, Total{Customer: account.Customer, Service: account.Service, Units: units[account]})
+	}
+	return list
+}
