--- a/internal/cluster/beat.go
+++ b/internal/cluster/beat.go
@@ -85,7 +85,7 @@
 		return
 	}
 	now := model.Now()
-	n.watch.Contact(now)
+	n.watch.Heard(held.peer.Node, held.peer.Incarnation, now)
 	n.answered = now
 	current := request.Incarnation == n.table.Self().Incarnation && request.Version == n.table.Self().Version
 	held.told = current && !reply.WantRecord
@@ -115,6 +115,9 @@
 	if !n.balancer() {
 		return beatReply{}, Error.New("%s is no balancer", n.self)
 	}
+	if n.deaf(now) {
+		return beatReply{}, Error.New("%s was stopped for long and takes no records yet", n.self)
+	}
 	if request.Record != nil {
 		if request.Record.Node != request.Node {
 			return beatReply{}, Error.New("record: of %s in a heartbeat of %s", request.Record.Node, request.Node)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -83,6 +83,7 @@
 	viewDirty  bool
 	// ticked is when the last tick ran, answered when a watcher last answered.
 	ticked, answered model.Instant
+	deafUntil        model.Instant
 	// documentAt is when a document was last taken.
 	documentAt model.Instant
 
@@ -312,11 +313,22 @@
 		n.addCandidate(record)
 	}
 	n.table.Forget()
+	n.deafUntil = now.Add(deafTime)
 	clear(n.outbox)
 	n.joined.Store(false)
 	n.rebuild(now)
 }
 
+// deafTime is how long after a long stop a node takes no records that others
+// bring, since they may have waited in the socket since before.
+const deafTime = 2 * syncTimeout
+
+// deaf reports whether records that others bring may be from before a long stop.
+func (n *Node) deaf(now model.Instant) bool {
+	n.checkPause(now)
+	return now < n.deafUntil
+}
+
 // updateSelf changes the own record and spreads it.
 func (n *Node) updateSelf(change func(*membership.Record)) {
 	record := n.table.Update(change)
--- a/internal/cluster/sync.go
+++ b/internal/cluster/sync.go
@@ -132,6 +132,9 @@
 	now := model.Now()
 	scope := membership.Scope{Service: request.Service}
 	n.watch.Contact(now)
+	if n.deaf(now) {
+		return reply, Error.New("%s was stopped for long and takes no records yet", n.self)
+	}
 	n.merge(request.Push, now)
 	if len(request.Buckets) > 0 {
 		differ, err := n.table.Differing(scope, request.Buckets)
--- a/internal/membership/assign.go
+++ b/internal/membership/assign.go
@@ -22,19 +22,11 @@
 	hash   uint64
 }
 
-// NewAssignment ranks the balancers of a view. Draining balancers take part
-// only while there is no other.
+// NewAssignment ranks the balancers of a view.
 func NewAssignment(view *View) *Assignment {
 	a := &Assignment{}
 	for _, record := range view.Balancers() {
-		if record.State != StateDraining {
-			a.balancers = append(a.balancers, ranked{record, nodeHash(record.Node)})
-		}
-	}
-	if len(a.balancers) == 0 {
-		for _, record := range view.Balancers() {
-			a.balancers = append(a.balancers, ranked{record, nodeHash(record.Node)})
-		}
+		a.balancers = append(a.balancers, ranked{record, nodeHash(record.Node)})
 	}
 	slices.SortFunc(a.balancers, func(x, y ranked) int {
 		return cmp.Or(cmp.Compare(x.hash, y.hash), cmp.Compare(x.record.Node, y.record.Node))
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -12,6 +12,8 @@
 // records have the same address.
 type View struct {
 	Records []Record
+	// hidden are running nodes whose addresses others have taken.
+	hidden []Record
 }
 
 // Find returns the record of a node.
@@ -41,13 +43,15 @@
 	slices.SortFunc(running, func(a, b Record) int { return cmp.Compare(a.Node, b.Node) })
 	control := owners(running, func(r Record) netip.AddrPort { return r.Control })
 	data := owners(running, func(r Record) netip.AddrPort { return r.Data })
-	kept := running[:0]
+	view := &View{Records: make([]Record, 0, len(running))}
 	for _, record := range running {
 		if control[record.Control] == record.Node && ownsData(data, record) {
-			kept = append(kept, record)
+			view.Records = append(view.Records, record)
+		} else {
+			view.hidden = append(view.hidden, record)
 		}
 	}
-	return &View{Records: slices.Clip(kept)}
+	return view
 }
 
 func ownsData(owner map[netip.AddrPort]model.NodeID, record Record) bool {
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -28,7 +28,9 @@
 )
 
 // Watch decides which nodes are dead. A node is watched by the balancers that
-// rendezvous hashing names, whether or not it has ever spoken to them.
+// rendezvous hashing names, whether or not it has ever spoken to them. A
+// balancer watches its own watchers too, which answer its heartbeats, so that no
+// group that died together was watched by its own members alone.
 type Watch struct {
 	self    model.NodeID
 	nodes   map[model.NodeID]*watched
@@ -66,9 +68,14 @@
 	for _, held := range w.nodes {
 		held.assigned = false
 	}
-	for _, record := range view.Records {
-		if record.Node != w.self && assignment.Watches(w.self, record.Node) {
-			w.assign(record, now)
+	for _, watcher := range assignment.Watchers(w.self) {
+		w.assign(watcher, now)
+	}
+	for _, records := range [][]Record{view.Records, view.hidden} {
+		for _, record := range records {
+			if record.Node != w.self && assignment.Watches(w.self, record.Node) {
+				w.assign(record, now)
+			}
 		}
 	}
 	for node, held := range w.nodes {
@@ -87,7 +94,7 @@
 	held.assigned = true
 }
 
-// Heard notes a heartbeat of a node.
+// Heard notes a heartbeat of a node, or its answer to one.
 func (w *Watch) Heard(node model.NodeID, incarnation uint64, now Instant) {
 	w.Contact(now)
 	held := w.nodes[node]
