Keep the audit trail as a hash chain in the platform

Who changed what must stay provable within 1 MB values, while operators race and answers get lost.

The trail is a chain of entries in segments of 256 KB under audit/. A segment is sealed by compare-and-swap before its successor is made, so that no entry can be added to both. An append reads before it writes again and expects the version it read, so at most one of its writes takes effect. An accepted record is the record that its document's header tells, and goes by its revision: two processes that complete the trail write it once. Entries that a document names and the trail has lost leave a gap in the numbers for good. A damaged newest segment is stepped over: an operator must be able to take a zone out, and Verify names it.

Ruled out: one value for the whole trail (the limit); a head pointer as truth (two keys can't be written at once; it is only a hint); a chain for each document (no order between documents).

What the chain can't show: removal of the very last entry, which the next command writes again from the document, and an edit of the last entries together with all documents that name them.

--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,197 @@
+package audit
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/plan"
+	"github.com/balsamlink/balsamlink/internal/platform"
+	"github.com/balsamlink/balsamlink/internal/standin/memstore"
+)
+
+// smallSegment makes a segment full after a few entries, in bytes.
+const smallSegment = 1500
+
+func calm(string) memstore.Fault { return memstore.None }
+
+func testTrail(store platform.Store) *Trail { return &Trail{store: store, segmentSize: smallSegment} }
+
+func record(id string, outcome Outcome, to model.Revision) Record {
+	entry := Record{ChangeID: id, Time: time.Unix(1, 0), Author: "thandi", Document: "out", Outcome: outcome, Changes: []string{"zone a\xff"}}
+	if outcome == Accepted {
+		entry.From, entry.To = to-1, to
+	}
+	return entry
+}
+
+func walk(t require.TestingT, trail *Trail) []Segment {
+	var segments []Segment
+	require.NoError(t, trail.Walk(context.Background(), func(s Segment) { segments = append(segments, s) }))
+	return segments
+}
+
+func verify(segments []Segment, documents ...plan.Document) []Fault {
+	v := NewVerifier(documents)
+	for _, segment := range segments {
+		v.Add(segment)
+	}
+	return v.Finish()
+}
+
+// chainFaults leaves out that no document stands beside the trail.
+func chainFaults(segments []Segment) []Fault {
+	var faults []Fault
+	for _, fault := range verify(segments) {
+		if fault.Segment != 0 {
+			faults = append(faults, fault)
+		}
+	}
+	return faults
+}
+
+// Processes append with lost answers, delayed writes, outages and deaths, one
+// in the midst of another. What Append confirmed is in the trail exactly once,
+// what it did not confirm at most once, and the chain holds.
+func TestTrailKeepsEveryConfirmedRecordOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var store memstore.Store
+		confirmed, tried := map[string]bool{}, map[string]bool{}
+		revision := model.Revision(1)
+		var appendOne func(depth int)
+		appendOne = func(depth int) {
+			view := store.View(func(string) memstore.Fault {
+				if depth < 2 && rapid.IntRange(0, 9).Draw(t, "interrupt") == 0 {
+					appendOne(depth + 1)
+				}
+				if rapid.IntRange(0, 9).Draw(t, "flush") == 0 {
+					store.Flush()
+				}
+				return drawFault(t)
+			})
+			entry := record(fmt.Sprintf("refused-%d", len(tried)), Refused, 0)
+			if rapid.Bool().Draw(t, "accepted") {
+				entry = record(fmt.Sprintf("accepted-%d", revision), Accepted, revision)
+			}
+			tried[entry.ChangeID] = true
+			_, err := testTrail(view).Append(context.Background(), entry, plan.AuditHead{})
+			if err != nil {
+				return
+			}
+			confirmed[entry.ChangeID] = true
+			if entry.To == revision {
+				revision++
+			}
+		}
+		for range rapid.IntRange(1, 20).Draw(t, "changes") {
+			appendOne(0)
+		}
+		store.Flush()
+		_, err := testTrail(store.View(calm)).Append(context.Background(), record("last", Refused, 0), plan.AuditHead{})
+		require.NoError(t, err)
+		segments := walk(t, testTrail(store.View(calm)))
+		require.Empty(t, chainFaults(segments))
+		count := map[string]int{}
+		for _, segment := range segments {
+			for _, entry := range segment.Entries {
+				count[entry.ChangeID]++
+			}
+		}
+		for id := range tried {
+			require.LessOrEqual(t, count[id], 1, id)
+			if confirmed[id] {
+				require.Equal(t, 1, count[id], id)
+			}
+		}
+	})
+}
+
+func drawFault(t *rapid.T) memstore.Fault {
+	if rapid.IntRange(0, 3).Draw(t, "faulty") != 0 {
+		return memstore.None
+	}
+	return rapid.SampledFrom([]memstore.Fault{
+		memstore.Unavailable, memstore.Dropped, memstore.Lost, memstore.Delayed, memstore.Death,
+	}).Draw(t, "fault")
+}
+
+// filled returns the segments of a trail of n accepted records, and the document
+// that the last of them made.
+func filled(t require.TestingT, n int) ([]Segment, plan.Document) {
+	var store memstore.Store
+	trail := testTrail(store.View(calm))
+	var document plan.Document
+	for i := range n {
+		document = plan.Document{Content: plan.Out{Zones: []model.Zone{model.Zone(fmt.Sprint(i))}}}
+		end, err := trail.End(context.Background())
+		require.NoError(t, err)
+		document.Header = plan.Header{
+			Revision: model.Revision(i + 1), Base: model.Revision(i), AuditHead: end.Head,
+			ChangeID: fmt.Sprint("c", i), Changes: []string{"x"},
+		}
+		accepted, err := AcceptedRecord(document)
+		require.NoError(t, err)
+		_, err = trail.Append(context.Background(), accepted, document.Header.AuditHead)
+		require.NoError(t, err)
+	}
+	return walk(t, trail), document
+}
+
+func TestEveryEditAndGapIsDetected(t *testing.T) {
+	segments, document := filled(t, 12)
+	require.Greater(t, len(segments), 2)
+	require.Empty(t, verify(segments, document))
+	text, err := json.Marshal(segments)
+	require.NoError(t, err)
+	edits := map[string]func([]Segment, int, int) []Segment{
+		"author": func(s []Segment, i, j int) []Segment { s[i].Entries[j].Author = "mallory"; return s },
+		"rehashed": func(s []Segment, i, j int) []Segment {
+			s[i].Entries[j].Changes = []string{"y"}
+			s[i].Entries[j].Hash, _ = hashOf(s[i].Entries[j])
+			return s
+		},
+		"entry removed": func(s []Segment, i, j int) []Segment {
+			s[i].Entries = append(s[i].Entries[:j:j], s[i].Entries[j+1:]...)
+			return s
+		},
+		"segment removed": func(s []Segment, i, _ int) []Segment { return append(s[:i:i], s[i+1:]...) },
+		"cut off":         func(s []Segment, i, _ int) []Segment { return s[:i] },
+	}
+	for name, edit := range edits {
+		for i, segment := range segments {
+			for j := range segment.Entries {
+				last := i == len(segments)-1 && j == len(segment.Entries)-1
+				if last && name == "entry removed" {
+					continue // the next command writes it again from the document
+				}
+				var edited []Segment
+				require.NoError(t, json.Unmarshal(text, &edited))
+				edited = edit(edited, i, j)
+				require.NotEmpty(t, verify(edited, document), "%s at %d/%d", name, i, j)
+			}
+		}
+	}
+	document.Content = plan.Out{}
+	require.NotEmpty(t, verify(segments, document), "document edited")
+}
+
+// A damaged newest segment must not stop an operator, and must stay visible.
+func TestTrailGoesOnAfterADamagedSegment(t *testing.T) {
+	var store memstore.Store
+	trail := testTrail(store.View(calm))
+	ctx := context.Background()
+	end, err := trail.Append(ctx, record("a", Refused, 0), plan.AuditHead{})
+	require.NoError(t, err)
+	_, err = store.View(calm).Put(ctx, platform.Write{Key: segmentKey(1), Value: []byte("{"), Expect: 1})
+	require.NoError(t, err)
+	after, err := trail.Append(ctx, record("b", Refused, 0), end.Head)
+	require.NoError(t, err)
+	require.Equal(t, uint64(2), after.Head.Sequence)
+	require.NotEmpty(t, verify(walk(t, trail)))
+}
--- a/internal/plan/check.go
+++ b/internal/plan/check.go
@@ -18,6 +18,9 @@
 const (
 	// MaxDocumentSize is the largest encoded document, in bytes.
 	MaxDocumentSize = 1 << 20
+	// MaxContentSize is the largest list, in bytes. The rest of a document is
+	// for its header.
+	MaxContentSize = 896 << 10
 	// MaxNameSize is the longest name of a customer, plan, service, zone or
 	// target, in bytes.
 	MaxNameSize = 128
--- a/internal/plan/diff.go
+++ b/internal/plan/diff.go
@@ -73,19 +73,26 @@
 	return found
 }
 
-// Describe returns the differences as lines, at most limit of them and one that
-// tells how many are left out.
-func Describe(differences []Difference, limit int) []string {
-	lines := []string{}
+// Describe returns the differences as lines.
+func Describe(differences []Difference) []string {
+	lines := make([]string, len(differences))
 	for i, difference := range differences {
-		if i == limit {
-			return append(lines, fmt.Sprintf("and %d more", len(differences)-limit))
-		}
-		lines = append(lines, difference.String())
+		lines[i] = difference.String()
 	}
 	return lines
 }
 
+// Shorten returns at most limit lines, the last of which tells how many are left
+// out.
+func Shorten(lines []string, limit int) []string {
+	if len(lines) <= limit {
+		return lines
+	}
+	kept := limit - 1
+	short := append([]string{}, lines[:kept]...)
+	return append(short, fmt.Sprintf("and %d more", len(lines)-kept))
+}
+
 // fieldKey names one field of a document. Names may hold any printable
 // character, so the parts are kept apart.
 type fieldKey struct {
--- a/internal/plan/diff_test.go
+++ b/internal/plan/diff_test.go
@@ -13,10 +13,11 @@
 	before := Customers{Customers: []Customer{{Name: "a", Plan: "p", CredentialSHA256: []string{hash("a")}}}}
 	after := Customers{Customers: []Customer{{Name: "a", Plan: "q"}, {Name: "b", Plan: "p"}}}
 	require.Equal(t, []string{
-		"customer a: credential aaaaaaaaaaaa removed", "customer a: plan: p -> q", "and 1 more",
-	}, Describe(Diff(before, after), 2))
+		"customer a: credential aaaaaaaaaaaa removed", "customer a: plan: p -> q", "customer b: plan: added p",
+	}, Describe(Diff(before, after)))
+	require.Equal(t, []string{"1", "and 2 more"}, Shorten([]string{"1", "2", "3"}, 2))
 	out := Diff(Out{Zones: []model.Zone{"z"}}, Out{Targets: []model.NodeID{"t"}})
-	require.Equal(t, []string{"target t: taken out of service", "zone z: returned to service"}, Describe(out, 5))
+	require.Equal(t, []string{"target t: taken out of service", "zone z: returned to service"}, Describe(out))
 }
 
 func TestDiffIsEmptyExactlyForEqualContentsAndTurnsAround(t *testing.T) {
--- a/internal/plan/document.go
+++ b/internal/plan/document.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"time"
 
@@ -18,6 +20,8 @@
 // Header tells who made a version of a document, when and how.
 type Header struct {
 	Revision model.Revision `json:"revision"`
+	// Base is the revision that this version was made from.
+	Base model.Revision `json:"base"`
 	// ChangeID names the change that made this version. It is unique.
 	ChangeID string    `json:"change_id"`
 	Author   string    `json:"author"`
@@ -107,6 +111,26 @@
 	return body, Error.Wrap(err)
 }
 
+// ContentSHA256 returns the hex hash of the normalized form of a content.
+func ContentSHA256(content Content) (string, error) {
+	body, err := EncodeContent(content)
+	if err != nil {
+		return "", err
+	}
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:]), nil
+}
+
+// KindOf returns the document of a name, as in "customers".
+func KindOf(name string) (model.DocumentKind, bool) {
+	for kind := range model.DocumentKind(model.DocumentCount) {
+		if kind.String() == name {
+			return kind, true
+		}
+	}
+	return 0, false
+}
+
 // Equal reports whether two contents are the same but for order and spelling.
 // Both must pass their checks.
 func Equal(a, b Content) bool {
@@ -119,6 +143,10 @@
 }
 
 func decodeContent[T Content](body []byte) (Content, error) {
+	var content T
+	if len(body) > MaxContentSize {
+		return nil, Error.New("%s: list of %d bytes is larger than %d", content.Kind(), len(body), MaxContentSize)
+	}
 	content, err := strictjson.Decode[T](body)
 	if err != nil {
 		return nil, Error.New("%s: %w", content.Kind(), err)
