Serve the thin whole path as separate processes

A caller's HTTP/3 request, each datagram sprayed at random over the balancers, must reach a target and come back whole. Ruled out: a port for each process on one address; each VM has a loopback address of its own instead, so ports are those of a real deployment.

--- /dev/null
+++ b/cmd/balsamagent/main.go
@@ -0,0 +1,24 @@
+// Command balsamagent is the process beside each target.
+package main
+
+import (
+	"os"
+
+	"github.com/balsamlink/balsamlink/internal/agent"
+	"github.com/balsamlink/balsamlink/internal/command"
+	"github.com/balsamlink/balsamlink/internal/settings"
+
+	_ "github.com/balsamlink/balsamlink/internal/credential/bearer"
+	_ "github.com/balsamlink/balsamlink/internal/target/http1"
+)
+
+func main() {
+	process := command.Process[settings.Agent]{
+		Name:  "balsamagent",
+		Usage: "be the only door to the target beside it",
+		Level: func(s settings.Agent) string { return s.Node.LogLevel },
+		Check: agent.Check,
+		Run:   agent.Run,
+	}
+	os.Exit(process.Main(os.Args))
+}
--- /dev/null
+++ b/cmd/balsamdev/main.go
@@ -0,0 +1,29 @@
+// Command balsamdev holds the stand-ins and the load tool. It is never part of
+// a deployment.
+package main
+
+import (
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/balsamlink/balsamlink/internal/command"
+	"github.com/balsamlink/balsamlink/internal/load"
+	"github.com/balsamlink/balsamlink/internal/standin/deployment"
+	"github.com/balsamlink/balsamlink/internal/standin/fabric"
+	"github.com/balsamlink/balsamlink/internal/standin/target"
+)
+
+func main() {
+	root := &cli.Command{
+		Name:  "balsamdev",
+		Usage: "stand-ins and load for developing and testing balsamlink",
+		Commands: []*cli.Command{
+			deployment.Command(),
+			fabric.Command(),
+			target.Command(),
+			load.Command(),
+		},
+	}
+	os.Exit(command.Execute(root, os.Args))
+}
--- /dev/null
+++ b/cmd/balsamlb/main.go
@@ -0,0 +1,23 @@
+// Command balsamlb is the balancer on each entry VM.
+package main
+
+import (
+	"os"
+
+	"github.com/balsamlink/balsamlink/internal/balancer"
+	"github.com/balsamlink/balsamlink/internal/command"
+	"github.com/balsamlink/balsamlink/internal/settings"
+
+	_ "github.com/balsamlink/balsamlink/internal/fabric/proxyv2"
+)
+
+func main() {
+	process := command.Process[settings.Balancer]{
+		Name:  "balsamlb",
+		Usage: "steer callers' datagrams to the agents of their service",
+		Level: func(s settings.Balancer) string { return s.Node.LogLevel },
+		Check: balancer.Check,
+		Run:   balancer.Run,
+	}
+	os.Exit(process.Main(os.Args))
+}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -53,9 +53,9 @@
 	Zone    model.Zone
 	Service model.Service
 	Shared  keys.Shared
-	// Certificate returns the service's certificate for each handshake.
-	Certificate func(*tls.ClientHelloInfo) (*tls.Certificate, error)
-	Requests    Requests
+	// TLS holds the service's certificate.
+	TLS      *tls.Config
+	Requests Requests
 }
 
 // Front ends the callers' QUIC connections.
@@ -115,6 +115,9 @@
 	f.closeFlows()
 }
 
+// SetOpen tells whether the agent takes new flows.
+func (f *Front) SetOpen(open bool) { f.conn.closed.Store(!open) }
+
 // Drain asks the callers to end their flows and returns when all have ended, or
 // with an error when the context has. What is still open then is given up.
 func (f *Front) Drain(ctx context.Context) error {
@@ -163,10 +166,7 @@
 }
 
 func (f *Front) tlsConfig() *tls.Config {
-	return http3.ConfigureTLSConfig(&tls.Config{
-		MinVersion:     tls.VersionTLS13,
-		GetCertificate: f.config.Certificate,
-	})
+	return http3.ConfigureTLSConfig(f.config.TLS)
 }
 
 type flowKey struct{}
--- a/internal/agent/packetconn.go
+++ b/internal/agent/packetconn.go
@@ -54,7 +54,9 @@
 	zone    model.ZoneTag
 	flows   Flows
 	// zoneOut is true while operators have the agent's zone out of service.
-	zoneOut  atomic.Bool
+	zoneOut atomic.Bool
+	// closed is true while the agent takes no new flows.
+	closed   atomic.Bool
 	revision atomic.Uint64
 
 	// The reader alone uses these.
@@ -145,7 +147,9 @@
 		c.dropped[DropMalformed].Add(1)
 		return false
 	}
-	choice := c.chooser.Decide(now, firstPacket(id, from, header), c.flows.Occupancy())
+	use := c.flows.Occupancy()
+	use.Open = use.Open && !c.closed.Load()
+	choice := c.chooser.Decide(now, firstPacket(id, from, header), use)
 	switch choice.Action {
 	case steering.TakeFlow:
 		return true
--- /dev/null
+++ b/internal/balancer/director.go
@@ -0,0 +1,89 @@
+package balancer
+
+import (
+	"sync"
+
+	"github.com/balsamlink/balsamlink/internal/membership"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/plan"
+	"github.com/balsamlink/balsamlink/internal/steering"
+)
+
+// director makes a new steering table whenever something that it depends on
+// has changed. A change is in the table when the call that brought it returns.
+type director struct {
+	traffic  *Traffic
+	refusals *refusals
+	services []model.Service
+	sealer   *steering.Sealer
+
+	mu   sync.Mutex
+	view *membership.View
+	book *plan.Book
+}
+
+// start makes the first table. What changed before is kept until then.
+func (d *director) start(traffic *Traffic, refusals *refusals) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.traffic = traffic
+	d.refusals = refusals
+	d.rebuild()
+}
+
+// viewChanged takes a new view of the nodes.
+func (d *director) viewChanged(view *membership.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view = view
+	d.rebuild()
+}
+
+// bookChanged takes a new book of the operators' documents.
+func (d *director) bookChanged(book *plan.Book) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.book = book
+	d.rebuild()
+}
+
+// refusalsChanged takes account of the agents that refuse datagrams.
+func (d *director) refusalsChanged() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rebuild()
+}
+
+// rebuild makes the table. The caller holds the lock.
+func (d *director) rebuild() {
+	if d.traffic == nil {
+		return
+	}
+	input := steering.Input{
+		Services: d.services,
+		Sealer:   d.sealer,
+		ZonesOut: d.book.ZonesOut(),
+		Revision: d.book.Revisions()[model.DocumentOut],
+	}
+	for _, record := range d.view.Records {
+		if record.Role == model.RoleAgent {
+			input.Targets = append(input.Targets, d.target(record))
+		}
+	}
+	d.traffic.SetTable(steering.NewTable(input))
+}
+
+func (d *director) target(record membership.Record) steering.Target {
+	target := steering.Target{
+		Node:    record.Node,
+		Service: record.Service,
+		Zone:    record.Zone,
+		Agent:   record.Data,
+		Running: !record.State.Gone() && !d.refusals.refuses(record.Data),
+		Out:     d.book.TargetOut(record.Node),
+	}
+	if record.State == membership.StateActive {
+		target.Weight = record.Slots
+	}
+	return target
+}
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,94 @@
+// Package command builds the command lines of the programs that run as
+// processes of the system.
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/observe"
+	"github.com/balsamlink/balsamlink/internal/strictjson"
+)
+
+// Process describes a program that runs with settings of type T.
+type Process[T any] struct {
+	Name  string
+	Usage string
+	// Level returns the log level that the settings ask for.
+	Level func(T) string
+	// Check checks settings without opening anything.
+	Check func(T, *logrus.Entry) error
+	// Run runs the process until it is told to end.
+	Run func(context.Context, T, *logrus.Entry) error
+}
+
+// Main runs a program and returns its exit code.
+func (p Process[T]) Main(arguments []string) int {
+	return Execute(p.command(), arguments)
+}
+
+// Execute runs a command line and returns the exit code.
+func Execute(command *cli.Command, arguments []string) int {
+	command.ExitErrHandler = func(context.Context, *cli.Command, error) {}
+	command.Version = version()
+	err := command.Run(context.Background(), arguments)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", command.Name, err)
+	}
+	return kernel.ExitCode(err)
+}
+
+func (p Process[T]) command() *cli.Command {
+	return &cli.Command{
+		Name:  p.Name,
+		Usage: p.Usage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "JSON `FILE` with the settings", Required: true},
+			&cli.BoolFlag{Name: "check-settings", Usage: "check the settings and end"},
+		},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error { return kernel.Usage(err) },
+		Action:       p.act,
+	}
+}
+
+func (p Process[T]) act(ctx context.Context, command *cli.Command) error {
+	if command.Args().Present() {
+		return kernel.Usage(errors.New("argument " + command.Args().First() + " is not expected"))
+	}
+	settings, err := read[T](command.String("settings"))
+	if err != nil {
+		return kernel.Usage(err)
+	}
+	log, err := observe.NewLog(os.Stderr, p.Level(settings))
+	if err != nil {
+		return kernel.Usage(err)
+	}
+	if command.Bool("check-settings") {
+		return p.Check(settings, log)
+	}
+	return p.Run(ctx, settings, log)
+}
+
+func read[T any](path string) (T, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		var none T
+		return none, err
+	}
+	return strictjson.Decode[T](text)
+}
+
+func version() string {
+	info, known := debug.ReadBuildInfo()
+	if !known {
+		return "unknown"
+	}
+	return info.Main.Version + " " + info.GoVersion
+}
--- a/internal/fabric/proxyv2/setup.go
+++ b/internal/fabric/proxyv2/setup.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/netip"
 
@@ -71,10 +72,14 @@
 // is not ready.
 func (p *ProxyV2) Drain(context.Context) error { return nil }
 
-// Stop implements kernel.Module.
+// Stop implements kernel.Module. It may be called more than once.
 func (p *ProxyV2) Stop() error {
 	if p.socket == nil {
 		return nil
 	}
-	return fabric.Error.Wrap(p.socket.Close())
+	err := p.socket.Close()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return fabric.Error.Wrap(err)
 }
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -99,7 +99,7 @@
 }
 
 func (e exchange) check(response *http.Response) (Result, error) {
-	if response.StatusCode != http.StatusOK {
+	if response.StatusCode/100 != http.StatusOK/100 {
 		return e.checkRefusal(response)
 	}
 	if got := response.Header.Get(answer.HeaderNonce); got != e.nonce {
@@ -119,7 +119,7 @@
 
 func (e exchange) checkRefusal(response *http.Response) (Result, error) {
 	text, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalText))
-	err := Error.New("status %d: %s", response.StatusCode, strings.TrimSpace(string(text)))
+	err := Error.New("status %d: %q", response.StatusCode, text)
 	switch response.Header.Get(OutcomeHeader) {
 	case OutcomeNotRun:
 		return ResultNotRun, err
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"net"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/balsamlink/balsamlink/internal/cluster"
+	"github.com/balsamlink/balsamlink/internal/keys"
+	"github.com/balsamlink/balsamlink/internal/membership"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/platform"
+	"github.com/balsamlink/balsamlink/internal/rpc"
+	"github.com/balsamlink/balsamlink/internal/settings"
+)
+
+// Control is the module that keeps the node in touch with the others.
+type Control struct {
+	Steps
+	Cluster *cluster.Node
+	Client  *rpc.Client
+	Server  *rpc.Server
+	Library *Library
+
+	settings settings.Node
+	serving  bool
+	started  bool
+}
+
+// ControlConfig is what a Control is made of.
+type ControlConfig struct {
+	Settings settings.Node
+	Ring     *keys.Ring
+	// Role, Service and Slots go into the node's own record.
+	Role    model.Role
+	Service model.Service
+	Slots   uint16
+	// Platform may be nil.
+	Platform platform.Store
+	Log      *logrus.Entry
+}
+
+// NewControl makes the module. Other parts register their methods on its server
+// before it starts.
+func NewControl(config ControlConfig) (*Control, error) {
+	library, err := NewLibrary(config.Log)
+	if err != nil {
+		return nil, err
+	}
+	c := &Control{
+		Client:   rpc.NewClient(config.Ring.ClientTLS()),
+		Server:   rpc.NewServer(config.Ring.ServerTLS(), config.Log),
+		Library:  library,
+		settings: config.Settings,
+	}
+	c.Cluster, err = cluster.New(cluster.Config{
+		Self: membership.Record{
+			Node:    config.Settings.Name,
+			Role:    config.Role,
+			State:   membership.StateStarting,
+			Zone:    config.Settings.Zone,
+			Service: config.Service,
+			Data:    config.Settings.Data,
+			Control: config.Settings.Control,
+			Slots:   config.Slots,
+		},
+		Client:   c.Client,
+		Server:   c.Server,
+		Seeds:    config.Settings.Seeds,
+		Platform: config.Platform,
+		Check:    CheckDocument,
+		Log:      config.Log,
+	})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	c.Cluster.OnDocument(library.Take)
+	return c, nil
+}
+
+// Start implements kernel.Module.
+func (c *Control) Start(ctx context.Context) error {
+	listener, err := net.Listen("tcp", c.settings.Control.String())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	c.Server.Serve(listener)
+	c.serving = true
+	c.Cluster.Start(context.WithoutCancel(ctx))
+	c.started = true
+	return nil
+}
+
+// Drain implements kernel.Module: it tells the others that this node has ended.
+// It runs after the parts that use the control connection have drained.
+func (c *Control) Drain(ctx context.Context) error {
+	return Error.Wrap(c.Cluster.Leave(ctx))
+}
+
+// Stop implements kernel.Module.
+func (c *Control) Stop() error {
+	if c.started {
+		c.Cluster.Stop()
+	}
+	c.Client.Close()
+	if !c.serving {
+		return nil
+	}
+	return Error.Wrap(c.Server.Close())
+}
--- a/internal/plan/book.go
+++ b/internal/plan/book.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/balsamlink/balsamlink/internal/model"
@@ -109,3 +111,8 @@
 		b.targets[target] = struct{}{}
 	}
 }
+
+// ZonesOut returns the zones that operators have taken out of service, in order.
+func (b *Book) ZonesOut() []model.Zone {
+	return slices.Sorted(maps.Keys(b.zones))
+}
--- /dev/null
+++ b/internal/standin/deployment/deployment.go
@@ -0,0 +1,116 @@
+// Package deployment lays out a whole deployment on the loopback addresses of
+// one machine, for developers and tests: each VM has an address of its own, and
+// each process its settings file.
+package deployment
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/zeebo/errs"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// Error is the class of all errors of this layer.
+var Error = errs.Class("deployment")
+
+// Shape is the size of a deployment in the users' terms.
+type Shape struct {
+	Name     string
+	Zones    []model.Zone
+	Services []ServiceShape
+	// Balancers is the number of entry VMs.
+	Balancers int
+	// DelayMS is the time from callers to balancers, one way, in milliseconds.
+	DelayMS float64
+}
+
+// ServiceShape is one service.
+type ServiceShape struct {
+	Name    model.Service
+	Servers int
+	Slots   int
+}
+
+// Shapes returns the deployments of the users by name.
+func Shapes() map[string]Shape {
+	return map[string]Shape{
+		"endcap": {
+			Name:      "endcap",
+			Zones:     []model.Zone{"gauteng-a", "gauteng-b", "gauteng-c", "gauteng-d"},
+			Services:  []ServiceShape{{"memberdesk", 7, 8}, {"proofroom", 4, 8}},
+			Balancers: 4,
+			DelayMS:   3,
+		},
+		"marmot": {
+			Name:      "marmot",
+			Zones:     []model.Zone{"taybac-a", "taybac-b", "taybac-c"},
+			Services:  []ServiceShape{{"booking-feed", 7, 5}, {"map-store", 3, 5}},
+			Balancers: 3,
+			DelayMS:   1,
+		},
+	}
+}
+
+// The ports of each VM.
+const (
+	portFabric    = 7000
+	portData      = 7001
+	portControl   = 7002
+	portOperators = 7003
+	portRelay     = 7004
+	portTarget    = 7005
+	portPlatform  = 7006
+	portService   = 7443
+)
+
+// The third octet of the VMs' addresses by what runs on them.
+const (
+	octetPlatform = 0
+	octetFabric   = 1
+	octetBalancer = 2
+	octetService  = 10
+)
+
+// Net gives the addresses of one deployment, all below 127.Octet.
+type Net struct {
+	Octet byte
+}
+
+func (n Net) addr(third, fourth int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, n.Octet, byte(third), byte(fourth)}), port)
+}
+
+// Platform returns the address of the platform's stand-in.
+func (n Net) Platform() netip.AddrPort { return n.addr(octetPlatform, 1, portPlatform) }
+
+// FabricBack returns the address to which balancers send answers.
+func (n Net) FabricBack() netip.AddrPort { return n.addr(octetFabric, 1, portFabric) }
+
+// FabricOperators returns the address of the fabric's health page.
+func (n Net) FabricOperators() netip.AddrPort { return n.addr(octetFabric, 1, portOperators) }
+
+// Service returns the address that callers of a service use.
+func (n Net) Service(service int) netip.AddrPort {
+	return n.addr(octetFabric, octetService+service, portService)
+}
+
+// Balancer returns an address of a balancer.
+func (n Net) balancer(number int, port uint16) netip.AddrPort {
+	return n.addr(octetBalancer, 1+number, port)
+}
+
+func (n Net) server(service, number int, port uint16) netip.AddrPort {
+	return n.addr(octetService+service, 1+number, port)
+}
+
+// BalancerName returns the name of a balancer.
+func BalancerName(number int) model.NodeID {
+	return model.NodeID(fmt.Sprintf("lb-%d", number+1))
+}
+
+// ServerName returns the name of a target's agent.
+func ServerName(service model.Service, number int) model.NodeID {
+	return model.NodeID(fmt.Sprintf("%s-%d", service, number+1))
+}
--- /dev/null
+++ b/internal/standin/deployment/documents.go
@@ -0,0 +1,104 @@
+package deployment
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/shopspring/decimal"
+
+	"github.com/balsamlink/balsamlink/internal/cluster"
+	"github.com/balsamlink/balsamlink/internal/devcerts"
+	"github.com/balsamlink/balsamlink/internal/keys"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/plan"
+	"github.com/balsamlink/balsamlink/internal/rpc"
+)
+
+// customerCount is the number of customers of each deployment.
+const customerCount = 5
+
+// What each customer may use of each service.
+const (
+	requestsPerSecond = 2000
+	burst             = 2000
+	inFlight          = 1000
+	unitsPerMonth     = 10_000_000
+)
+
+func customerName(number int) model.Customer {
+	return model.Customer(fmt.Sprintf("customer-%d", number+1))
+}
+
+// Tokens returns the bearer tokens of a deployment's customers.
+func Tokens() []string {
+	var tokens []string
+	for number := range customerCount {
+		tokens = append(tokens, "token-of-"+string(customerName(number)))
+	}
+	return tokens
+}
+
+// Contents returns the operators' first lists: all customers on one plan, and
+// nothing out of service.
+func Contents(services []model.Service) []plan.Content {
+	standard := plan.Plan{Name: "standard", MonthlyFee: decimal.New(100, 0), Allowances: []plan.Allowance{}}
+	for _, service := range services {
+		standard.Allowances = append(standard.Allowances, plan.Allowance{
+			Service: service, RequestsPerSecond: requestsPerSecond, Burst: burst,
+			InFlight: inFlight, UnitsPerMonth: unitsPerMonth, UnitPrice: decimal.New(1, -3),
+		})
+	}
+	customers := plan.Customers{Customers: []plan.Customer{}}
+	for number, token := range Tokens() {
+		hash := sha256.Sum256([]byte(token))
+		customers.Customers = append(customers.Customers, plan.Customer{
+			Name: customerName(number), Plan: standard.Name,
+			CredentialSHA256: []string{hex.EncodeToString(hash[:])},
+		})
+	}
+	return []plan.Content{
+		customers,
+		plan.Plans{Currency: "ZAR", Plans: []plan.Plan{standard}},
+		plan.Out{Zones: []model.Zone{}, Targets: []model.NodeID{}},
+	}
+}
+
+// Offer brings documents to the balancers of a deployment as an operator.
+func (l Layout) Offer(ctx context.Context, contents []plan.Content, revision model.Revision) error {
+	ring, err := keys.Load(devcerts.NodeFiles(l.Folder, OperatorName))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	client := rpc.NewClient(ring.ClientTLS())
+	defer client.Close()
+	for _, content := range contents {
+		document, err := documentOf(content, revision)
+		if err != nil {
+			return err
+		}
+		for _, seed := range l.Seeds {
+			if _, err := rpc.Call[cluster.Document, cluster.OfferReply](ctx, client, seed, rpc.MethodOffer, document); err != nil {
+				return Error.Wrap(err)
+			}
+		}
+	}
+	return nil
+}
+
+func documentOf(content plan.Content, revision model.Revision) (cluster.Document, error) {
+	document := plan.Document{
+		Header: plan.Header{
+			Revision: revision, Author: OperatorName, Time: time.Now().UTC(),
+			ChangeID: fmt.Sprintf("%s-%d", content.Kind(), revision), Changes: []string{"as laid out"},
+		},
+		Content: content,
+	}
+	body, err := document.Encode()
+	if err != nil {
+		return cluster.Document{}, Error.Wrap(err)
+	}
+	return cluster.Document{Kind: content.Kind(), Revision: revision, Body: body}, nil
+}
--- /dev/null
+++ b/internal/standin/deployment/layout.go
@@ -0,0 +1,228 @@
+package deployment
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/balsamlink/balsamlink/internal/devcerts"
+	"github.com/balsamlink/balsamlink/internal/fabric/proxyv2"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/settings"
+	"github.com/balsamlink/balsamlink/internal/standin/fabric"
+	"github.com/balsamlink/balsamlink/internal/target/http1"
+)
+
+// Process is one process of the deployment, in the order of starting.
+type Process struct {
+	Name    string   `json:"name"`
+	Program string   `json:"program"`
+	Args    []string `json:"args"`
+	// Ready is the TCP address whose /readyz tells that the process is ready;
+	// invalid when there is none.
+	Ready netip.AddrPort `json:"ready,omitzero"`
+	// Zone is the availability zone of the VM.
+	Zone model.Zone `json:"zone,omitempty"`
+}
+
+// Layout is a deployment as it was written to a folder.
+type Layout struct {
+	Shape     string           `json:"shape"`
+	Folder    string           `json:"folder"`
+	Authority string           `json:"authority"`
+	Services  []ServiceAddress `json:"services"`
+	// Seeds are the control addresses of the balancers.
+	Seeds []netip.AddrPort `json:"seeds"`
+	// Tokens are the bearer tokens of the deployment's customers.
+	Tokens    []string  `json:"tokens,omitempty"`
+	Processes []Process `json:"processes"`
+}
+
+// ServiceAddress is the address that callers of a service use, with the
+// addresses of its targets.
+type ServiceAddress struct {
+	Name    model.Service    `json:"name"`
+	Address netip.AddrPort   `json:"address"`
+	Targets []netip.AddrPort `json:"targets"`
+}
+
+// OperatorName is the name of the operator in a deployment.
+const OperatorName = "operator"
+
+// drainSeconds is how long the processes wait for open flows at their end.
+const drainSeconds = 20
+
+// writer writes one deployment.
+type writer struct {
+	shape  Shape
+	net    Net
+	folder string
+	layout Layout
+	failed error
+}
+
+// Write writes all files of a deployment to a folder.
+func Write(shape Shape, net Net, folder string) (Layout, error) {
+	absolute, err := filepath.Abs(folder)
+	if err != nil {
+		return Layout{}, Error.Wrap(err)
+	}
+	if err := os.MkdirAll(absolute, 0o755); err != nil {
+		return Layout{}, Error.Wrap(err)
+	}
+	w := &writer{shape: shape, net: net, folder: absolute}
+	w.layout = Layout{Shape: shape.Name, Folder: absolute, Authority: w.path(devcerts.FileServiceAuthority), Tokens: Tokens()}
+	w.writeKeys()
+	w.addFabric()
+	w.addTargets()
+	w.addBalancers()
+	w.addAgents()
+	w.writeJSON("layout.json", w.layout)
+	return w.layout, w.failed
+}
+
+func (w *writer) path(name string) string { return filepath.Join(w.folder, name) }
+
+func (w *writer) writeJSON(name string, value any) {
+	text, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		w.fail(err)
+		return
+	}
+	w.fail(os.WriteFile(w.path(name), append(text, '\n'), 0o600))
+}
+
+func (w *writer) fail(err error) {
+	if w.failed == nil {
+		w.failed = Error.Wrap(err)
+	}
+}
+
+func (w *writer) writeKeys() {
+	request := devcerts.Request{Directory: w.folder, Nodes: []string{OperatorName}}
+	for number := range w.shape.Balancers {
+		request.Nodes = append(request.Nodes, string(BalancerName(number)))
+	}
+	for _, service := range w.shape.Services {
+		request.Services = append(request.Services, string(service.Name))
+		for number := range service.Servers {
+			request.Nodes = append(request.Nodes, string(ServerName(service.Name, number)))
+		}
+	}
+	w.fail(devcerts.Make(request))
+}
+
+func (w *writer) addFabric() {
+	stand := fabric.Settings{
+		Listen:    w.net.FabricBack(),
+		DelayMS:   w.shape.DelayMS,
+		Operators: w.net.FabricOperators(),
+	}
+	for i, service := range w.shape.Services {
+		stand.Services = append(stand.Services, w.net.Service(i))
+		address := ServiceAddress{Name: service.Name, Address: w.net.Service(i)}
+		for number := range service.Servers {
+			address.Targets = append(address.Targets, w.net.server(i, number, portTarget))
+		}
+		w.layout.Services = append(w.layout.Services, address)
+	}
+	for number := range w.shape.Balancers {
+		stand.Members = append(stand.Members, fabric.Member{
+			Fabric: w.net.balancer(number, portFabric),
+			Ready:  w.net.balancer(number, portOperators),
+		})
+	}
+	w.writeJSON("fabric.json", stand)
+	w.add(Process{
+		Name: "fabric", Program: "balsamdev", Ready: w.net.FabricOperators(),
+		Args: []string{"fabric", "--settings", w.path("fabric.json")},
+	})
+}
+
+func (w *writer) addTargets() {
+	for i, service := range w.shape.Services {
+		for number := range service.Servers {
+			w.add(Process{
+				Name: "target-" + string(ServerName(service.Name, number)), Program: "balsamdev",
+				Args: []string{
+					"target", "--listen", w.net.server(i, number, portTarget).String(),
+					"--slots", strconv.Itoa(service.Slots),
+				},
+				Zone: w.zone(number),
+			})
+		}
+	}
+}
+
+func (w *writer) addBalancers() {
+	for number := range w.shape.Balancers {
+		w.layout.Seeds = append(w.layout.Seeds, w.net.balancer(number, portControl))
+		at := func(port uint16) netip.AddrPort { return w.net.balancer(number, port) }
+		name := BalancerName(number)
+		lb := settings.Balancer{
+			Node: w.node(name, w.zone(number), at),
+			Fabric: plugin(proxyv2.Name, proxyv2.Settings{
+				Listen: at(portFabric),
+				Fabric: []netip.AddrPort{w.net.FabricBack()},
+			}),
+		}
+		for i, service := range w.shape.Services {
+			lb.Services = append(lb.Services, settings.Service{Name: service.Name, Address: w.net.Service(i)})
+		}
+		w.addNode(name, "balsamlb", lb, lb.Node)
+	}
+}
+
+func (w *writer) addAgents() {
+	for i, service := range w.shape.Services {
+		for number := range service.Servers {
+			at := func(port uint16) netip.AddrPort { return w.net.server(i, number, port) }
+			name := ServerName(service.Name, number)
+			certificate, key := devcerts.ServiceFiles(w.folder, string(service.Name))
+			agent := settings.Agent{
+				Node:        w.node(name, w.zone(number), at),
+				Service:     service.Name,
+				Certificate: certificate,
+				Key:         key,
+				Target:      plugin("http1", http1.Settings{Address: at(portTarget), Slots: service.Slots}),
+				Relay:       at(portRelay),
+				Credential:  plugin("bearer", struct{}{}),
+			}
+			w.addNode(name, "balsamagent", agent, agent.Node)
+		}
+	}
+}
+
+func (w *writer) addNode(name model.NodeID, program string, value any, node settings.Node) {
+	file := string(name) + ".json"
+	w.writeJSON(file, value)
+	w.add(Process{
+		Name: string(name), Program: program, Zone: node.Zone, Ready: node.Operators,
+		Args: []string{"--settings", w.path(file)},
+	})
+}
+
+func (w *writer) node(name model.NodeID, zone model.Zone, at func(uint16) netip.AddrPort) settings.Node {
+	node := settings.Node{
+		Name: name, Zone: zone,
+		Keys:    devcerts.NodeFiles(w.folder, string(name)),
+		Control: at(portControl), Data: at(portData), Operators: at(portOperators),
+		DrainSeconds: drainSeconds,
+	}
+	node.Seeds = w.layout.Seeds
+	return node
+}
+
+func (w *writer) zone(number int) model.Zone { return w.shape.Zones[number%len(w.shape.Zones)] }
+
+func (w *writer) add(process Process) { w.layout.Processes = append(w.layout.Processes, process) }
+
+func plugin(name string, value any) settings.Plugin {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic("deployment: settings of a plug-in are not encodable: " + err.Error())
+	}
+	return settings.Plugin{Plugin: name, Settings: text}
+}
--- a/internal/standin/fabric/command.go
+++ b/internal/standin/fabric/command.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -131,6 +133,8 @@
 			if err != nil {
 				return err
 			}
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
 			return Run(ctx, settings, command.Uint64("seed"), logrus.NewEntry(logrus.StandardLogger()))
 		},
 	}
--- a/internal/wire/datagram.go
+++ b/internal/wire/datagram.go
@@ -73,6 +73,15 @@
 	KindCount = 7
 )
 
+// String returns the name of the kind used in metrics.
+func (k Kind) String() string {
+	names := [KindCount]string{"invalid", "established", "first", "handed", "final", "gone", "answer"}
+	if k.Valid() {
+		return names[k]
+	}
+	return names[0]
+}
+
 // Valid reports whether the kind is one of those above.
 func (k Kind) Valid() bool { return k >= KindEstablished && k < KindCount }
 
