Decide admission by measured answer times

A target in a cold start falls over under full load, and its health and load endpoints mislead.

Bookings go two to one while both wait.

Model target of the fuzz: 2..16 slots, cold capacity from 1, 3..8 times slower when cold, warming 0..40 s and 0..200 requests, +-10% noise, turning cold again without warning.

--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,147 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// The shares of the queue that the classes may fill, in parts of shareTotal.
+const (
+	shareTotal   = 3
+	shareBooking = 2
+	shareRead    = 1
+)
+
+// intervalSamples is the number of grants over which the pace of a busy queue
+// is averaged.
+const intervalSamples = 16
+
+type waiting struct {
+	request Request
+	expires model.Instant
+}
+
+// queue holds waiting requests, first come first served in each class.
+type queue struct {
+	config  Config
+	classes [classCount][]waiting
+	// bookings counts the bookings that went since the last other request.
+	bookings int
+	// interval is the average time between two grants of a queue that was
+	// never empty between them, and samples the number of such times.
+	interval time.Duration
+	samples  int
+	lastPop  model.Instant
+}
+
+func newQueue(config Config) queue { return queue{config: config} }
+
+func (q *queue) size() int {
+	return len(q.classes[ClassRead]) + len(q.classes[ClassBooking])
+}
+
+// push lets a request wait, or returns why it must not.
+func (q *queue) push(now model.Instant, request Request, usual time.Duration) Reason {
+	share := shareRead
+	if request.Class == ClassBooking {
+		share = shareBooking
+	}
+	if len(q.classes[request.Class]) >= max(1, q.config.QueueLimit*share/shareTotal) {
+		return ReasonFull
+	}
+	expires := now.Add(q.config.MaxWait)
+	if request.Deadline != 0 {
+		expires = min(expires, request.Deadline.Add(-usual))
+	}
+	if expires <= now {
+		return ReasonLate
+	}
+	if now.Add(q.expectedWait(request.Class)) > expires {
+		return ReasonFull
+	}
+	if q.size() == 0 {
+		q.lastPop = 0
+	}
+	q.classes[request.Class] = append(q.classes[request.Class], waiting{request, expires})
+	return ReasonNone
+}
+
+func (q *queue) expectedWait(class Class) time.Duration {
+	if q.samples < intervalSamples {
+		return 0
+	}
+	own := len(q.classes[class]) + 1
+	other := len(q.classes[1-class])
+	ahead := own * bookingWeight
+	if class == ClassBooking {
+		ahead = own / bookingWeight
+	}
+	return time.Duration(own+min(ahead, other)) * q.interval
+}
+
+// pop takes the request that goes next.
+func (q *queue) pop(now model.Instant) (Request, bool) {
+	class, found := q.next()
+	if !found {
+		return Request{}, false
+	}
+	request := q.classes[class][0].request
+	q.classes[class] = q.classes[class][1:]
+	q.notePop(now)
+	return request, true
+}
+
+func (q *queue) next() (Class, bool) {
+	reads, bookings := len(q.classes[ClassRead]), len(q.classes[ClassBooking])
+	switch {
+	case reads == 0 && bookings == 0:
+		return 0, false
+	case reads == 0:
+		return ClassBooking, true
+	case bookings == 0 || q.bookings >= bookingWeight:
+		q.bookings = 0
+		return ClassRead, true
+	default:
+		q.bookings++
+		return ClassBooking, true
+	}
+}
+
+func (q *queue) notePop(now model.Instant) {
+	if q.lastPop != 0 {
+		q.samples = min(q.samples+1, intervalSamples)
+		q.interval += (now.Sub(q.lastPop) - q.interval) / time.Duration(q.samples)
+	}
+	q.lastPop = now
+	if q.size() == 0 {
+		q.lastPop = 0
+	}
+}
+
+func (q *queue) remove(id ID) {
+	for class := range q.classes {
+		q.classes[class] = slices.DeleteFunc(q.classes[class], func(w waiting) bool { return w.request.ID == id })
+	}
+}
+
+// expire refuses what has waited too long or can't meet its deadline any more.
+func (q *queue) expire(now model.Instant, usual func(Kind) time.Duration) []Effect {
+	var effects []Effect
+	for class := range q.classes {
+		q.classes[class] = slices.DeleteFunc(q.classes[class], func(w waiting) bool {
+			late := w.request.Deadline != 0 && now.Add(usual(w.request.Kind)) > w.request.Deadline
+			if !late && now < w.expires {
+				return false
+			}
+			reason := ReasonWaited
+			if late {
+				reason = ReasonLate
+			}
+			effects = append(effects, Effect{ID: w.request.ID, Reason: reason})
+			return true
+		})
+	}
+	return effects
+}
--- /dev/null
+++ b/internal/admission/sim_test.go
@@ -0,0 +1,171 @@
+package admission
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// modelTarget is a target that collapses when it has to serve more than it
+// bears for longer than its patience.
+type modelTarget struct {
+	slots, cold int
+	factor      float64
+	service     time.Duration
+	warming     time.Duration
+	work        int
+	patience    time.Duration
+
+	coldSince model.Instant
+	served    int
+	overSince model.Instant
+	collapses int
+}
+
+func (m *modelTarget) progress(now model.Instant) float64 {
+	progress := min(1, float64(now.Sub(m.coldSince))/float64(max(m.warming, 1)))
+	if m.work > 0 {
+		progress = min(progress, float64(m.served)/float64(m.work))
+	}
+	return progress
+}
+
+func (m *modelTarget) bears(now model.Instant) int {
+	return m.cold + int(float64(m.slots-m.cold)*m.progress(now))
+}
+
+func (m *modelTarget) time(now model.Instant) time.Duration {
+	return time.Duration(float64(m.service) * (1 + (m.factor-1)*(1-m.progress(now))))
+}
+
+func (m *modelTarget) check(now model.Instant, inService int) {
+	if inService <= m.bears(now) {
+		m.overSince = 0
+		return
+	}
+	if m.overSince == 0 {
+		m.overSince = now
+	}
+	if now.Sub(m.overSince) >= m.patience {
+		m.collapses++
+		m.overSince = now
+	}
+}
+
+type simRequest struct {
+	Request
+	arrived  model.Instant
+	answers  model.Instant
+	ends     model.Instant
+	stream   time.Duration
+	answered bool
+}
+
+// sim drives a Controller and a model target through virtual time.
+type sim struct {
+	random   *rand.Rand
+	target   *modelTarget
+	c        *Controller
+	now      model.Instant
+	nextID   ID
+	waiting  map[ID]*simRequest
+	running  map[ID]*simRequest
+	granted  [classCount]int
+	refused  map[Reason]int
+	late     int
+	jitter   float64
+	deadline time.Duration
+	// problem is the first broken promise that was seen.
+	problem string
+}
+
+const simStep = 2 * time.Millisecond
+
+func newSim(seed uint64, target *modelTarget, config Config) *sim {
+	s := &sim{
+		random: rand.New(rand.NewPCG(seed, 1)), target: target, now: model.Instant(time.Hour),
+		waiting: map[ID]*simRequest{}, running: map[ID]*simRequest{}, refused: map[Reason]int{}, jitter: 0.1,
+	}
+	target.coldSince = s.now
+	s.c = New(config, s.now)
+	return s
+}
+
+func (s *sim) fail(problem string) {
+	if s.problem == "" {
+		s.problem = problem
+	}
+}
+
+func (s *sim) arrive(class Class, stream time.Duration) {
+	s.nextID++
+	r := &simRequest{Request: Request{ID: s.nextID, Class: class, Kind: Kind(class)}, arrived: s.now, stream: stream}
+	if s.deadline > 0 {
+		r.Deadline = s.now.Add(s.deadline)
+	}
+	s.waiting[r.ID] = r
+	s.apply(s.c.Arrive(s.now, r.Request))
+}
+
+func (s *sim) apply(effects []Effect) {
+	for _, e := range effects {
+		r := s.waiting[e.ID]
+		if r == nil {
+			s.fail("an effect for a request that doesn't wait")
+			continue
+		}
+		delete(s.waiting, e.ID)
+		if !e.Granted {
+			s.refused[e.Reason]++
+			continue
+		}
+		s.granted[r.Class]++
+		noise := 1 + s.jitter*(2*s.random.Float64()-1)
+		r.answers = s.now.Add(time.Duration(float64(s.target.time(s.now)) * noise))
+		r.ends = r.answers.Add(r.stream)
+		s.running[r.ID] = r
+	}
+	if len(s.running) > s.target.slots {
+		s.fail("more requests in flight than slots")
+	}
+	if load := s.c.Load(); load.InFlight != len(s.running) || load.Queued != len(s.waiting) {
+		s.fail("the load isn't what runs and waits")
+	}
+}
+
+func (s *sim) inService() int {
+	n := 0
+	for _, r := range s.running {
+		if !r.answered {
+			n++
+		}
+	}
+	return n
+}
+
+// step lets one simStep pass: answers, ends, ticks, then the target's check.
+func (s *sim) step() {
+	s.now = s.now.Add(simStep)
+	for _, id := range slices.Sorted(maps.Keys(s.running)) {
+		r := s.running[id]
+		if !r.answered && s.now >= r.answers {
+			r.answered = true
+			s.target.served++
+			if r.Deadline != 0 && s.now > r.Deadline {
+				s.late++
+			}
+			s.apply(s.c.Answered(s.now, id))
+		}
+		if s.now >= r.ends {
+			delete(s.running, id)
+			s.apply(s.c.Finish(s.now, id, ResultOK))
+		}
+	}
+	if time.Duration(s.now)%TickInterval == 0 {
+		s.apply(s.c.Tick(s.now))
+	}
+	s.target.check(s.now, s.inService())
+}
