Admit, hand over and retry requests in the agent

'Not run' is said only while no byte was written: the offer client seals its connection before it answers that question, since a write may still be under way when the caller gives up.

Ruled out: keeping connections open for non-idempotent requests, because a graceful close of an idle connection would turn into an unknown outcome.

--- a/internal/request/forward.go
+++ b/internal/request/forward.go
@@ -85,11 +85,19 @@
 			return nil
 		}
 		if err != nil {
-			return Error.New("target: %v", err)
+			return &cutError{cause: err}
 		}
 	}
 }
 
+// cutError tells that the target's answer ended before it was whole.
+type cutError struct {
+	cause error
+}
+
+// Error implements error.
+func (e *cutError) Error() string { return "the answer was cut short: " + e.cause.Error() }
+
 // recorder keeps the start of an answer, up to a bound. A nil recorder keeps
 // nothing.
 type recorder struct {
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
+	"github.com/balsamlink/balsamlink/internal/admission"
 	"github.com/balsamlink/balsamlink/internal/credential"
 	"github.com/balsamlink/balsamlink/internal/model"
 	"github.com/balsamlink/balsamlink/internal/target"
@@ -41,6 +42,20 @@
 	RetryAfter() time.Duration
 }
 
+// Peers are the other agents of the service.
+type Peers interface {
+	// Pick returns an agent that seems to have room and isn't among the tried.
+	Pick(tried []model.NodeID) (Peer, bool)
+}
+
+// Peer is another agent of the service.
+type Peer interface {
+	Node() model.NodeID
+	// Offer hands a request over. Its errors wrap *offer.Failure; one that is
+	// not Sent tells that the peer refused before it offered the request.
+	Offer(ctx context.Context, request *http.Request) (*http.Response, error)
+}
+
 // Config holds the parts of a Handler.
 type Config struct {
 	Service model.Service
@@ -50,7 +65,13 @@
 	// Allowance meters the customers; nil means that there are no limits. It
 	// is used only together with Credential.
 	Allowance Allowance
-	Log       *logrus.Entry
+	// Claims keeps idempotency keys; nil means that keys are not looked at.
+	Claims Claims
+	// Peers take requests that the own target has no room for; nil means none.
+	Peers Peers
+	// MaxWait is how long a request may wait for a slot; 0 means one second.
+	MaxWait time.Duration
+	Log     *logrus.Entry
 }
 
 // Load is what an agent knows exactly of its own target.
@@ -63,35 +84,52 @@
 	Limit int
 	// Slots is the number of slots of the target.
 	Slots int
-	// Draining tells that no new work is taken.
+	// Cold tells that the target is new or has turned cold.
+	Cold bool
+	// Draining tells that the agent or its target takes no new work.
 	Draining bool
 }
 
+const (
+	defaultMaxWait = time.Second
+	// queuePerSlot is the number of requests that may wait for each slot.
+	queuePerSlot = 16
+)
+
 // Handler serves the requests of callers. It implements http.Handler.
 type Handler struct {
 	config Config
+	gate   *gate
+	budget *budget
 
 	mu       sync.Mutex
 	open     int
 	draining bool
 	idle     chan struct{}
+	idleOnce sync.Once
 }
 
-// New makes a handler that takes work at once.
+// New makes a handler that takes work at once. Close frees it.
 func New(config Config) *Handler {
-	return &Handler{config: config, idle: make(chan struct{})}
+	if config.MaxWait == 0 {
+		config.MaxWait = defaultMaxWait
+	}
+	slots := config.Target.Slots()
+	return &Handler{
+		config: config,
+		gate:   newGate(admission.Config{Slots: slots, QueueLimit: queuePerSlot * slots, MaxWait: config.MaxWait}),
+		budget: newBudget(),
+		idle:   make(chan struct{}),
+	}
 }
 
-// Drain takes no new work and returns when the open requests have ended or the
-// context has.
+// Drain gives the own target no new work and returns when the open requests
+// have ended or the context has. New requests are handed to other agents or
+// refused.
 func (h *Handler) Drain(ctx context.Context) error {
 	h.mu.Lock()
-	if !h.draining {
-		h.draining = true
-		if h.open == 0 {
-			close(h.idle)
-		}
-	}
+	h.draining = true
+	h.endIfIdle()
 	h.mu.Unlock()
 	select {
 	case <-h.idle:
@@ -101,45 +139,59 @@
 	}
 }
 
+// Close ends the admission. Requests that still wait are refused.
+func (h *Handler) Close() { h.gate.close() }
+
 // Load returns exact counts.
 func (h *Handler) Load() Load {
+	load := h.gate.load.Load()
+	return Load{
+		InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit,
+		Slots: load.Slots, Cold: load.Cold, Draining: !h.takesWork(),
+	}
+}
+
+// takesWork reports whether the own target may get new work.
+func (h *Handler) takesWork() bool {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	slots := h.config.Target.Slots()
-	return Load{InFlight: h.open, Limit: slots, Slots: slots, Draining: h.draining}
+	draining := h.draining
+	h.mu.Unlock()
+	return !draining && !h.config.Target.Hints().Draining
 }
 
-func (h *Handler) enter() bool {
+func (h *Handler) enter() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.draining {
-		return false
-	}
 	h.open++
-	return true
 }
 
 func (h *Handler) leave() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.open--
+	h.endIfIdle()
+}
+
+func (h *Handler) endIfIdle() {
 	if h.draining && h.open == 0 {
-		close(h.idle)
+		h.idleOnce.Do(func() { close(h.idle) })
 	}
 }
 
 // ServeHTTP implements http.Handler. It panics with http.ErrAbortHandler when
 // an answer was cut short, so that the caller sees a reset stream.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !h.enter() {
-		unavailable("this target is draining").write(w)
-		return
-	}
+	h.enter()
 	defer h.leave()
-	err := h.serve(w, r)
+	h.finish(w, h.serve(w, r))
+}
+
+// finish turns an error into a refusal, or cuts the caller's stream.
+func (h *Handler) finish(w http.ResponseWriter, err error) {
 	if err == nil {
 		return
 	}
+	count("refused_or_cut")
 	var refused *refusal
 	if errors.As(err, &refused) {
 		refused.write(w)
@@ -150,43 +202,29 @@
 }
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) error {
-	ctx, cancel, err := requestContext(r)
-	if err != nil {
-		return notRun(http.StatusBadRequest, err.Error(), 0)
-	}
-	defer cancel()
 	customer, err := h.customer(r)
 	if err != nil {
 		return err
 	}
-	permit, err := h.acquire(ctx, customer)
+	c, err := newCall(r, customer)
 	if err != nil {
 		return err
 	}
-	answer, err := h.config.Target.Offer(ctx, outgoing(ctx, r))
+	defer c.cancel()
+	permit, err := h.acquire(c)
 	if err != nil {
-		permit.Unserved()
-		return offerRefusal(ctx, err)
-	}
-	if err := relay(w, answer, nil); err != nil {
-		permit.Unserved()
 		return err
 	}
-	permit.Served()
-	return nil
-}
-
-func requestContext(r *http.Request) (context.Context, context.CancelFunc, error) {
-	left, limited, err := timeLeft(r)
-	if err != nil {
-		return nil, nil, err
-	}
-	if !limited {
-		ctx, cancel := context.WithCancel(r.Context())
-		return ctx, cancel, nil
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), left)
-	return ctx, cancel, nil
+	served := false
+	defer func() {
+		if served {
+			permit.Served()
+		} else {
+			permit.Unserved()
+		}
+	}()
+	served, err = h.serveClaimed(w, c)
+	return err
 }
 
 func (h *Handler) customer(r *http.Request) (model.Customer, error) {
@@ -214,11 +252,11 @@
 // Unserved implements Permit.
 func (freePermit) Unserved() {}
 
-func (h *Handler) acquire(ctx context.Context, customer model.Customer) (Permit, error) {
+func (h *Handler) acquire(c *call) (Permit, error) {
 	if h.config.Allowance == nil || h.config.Credential == nil {
 		return freePermit{}, nil
 	}
-	permit, err := h.config.Allowance.Acquire(ctx, customer, h.config.Service)
+	permit, err := h.config.Allowance.Acquire(c.ctx, c.customer, h.config.Service)
 	if err == nil {
 		return permit, nil
 	}
@@ -229,16 +267,3 @@
 	}
 	return nil, notRun(http.StatusTooManyRequests, err.Error(), after)
 }
-
-// offerRefusal turns the error of an offered request into an answer.
-func offerRefusal(ctx context.Context, err error) error {
-	var offer *target.OfferError
-	if errors.As(err, &offer) && !offer.Sent {
-		return unavailable("the target can't be reached")
-	}
-	status := http.StatusBadGateway
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		status = http.StatusGatewayTimeout
-	}
-	return &refusal{status: status, outcome: OutcomeUnknown, reason: "the target gave no answer"}
-}
--- a/internal/request/headers.go
+++ b/internal/request/headers.go
@@ -16,6 +16,12 @@
 	HeaderDeadline = "Balsam-Deadline-Ms"
 	// HeaderKey is the idempotency key of a non-idempotent request.
 	HeaderKey = "Idempotency-Key"
+	// HeaderHanded marks a request that one agent hands over to another.
+	HeaderHanded = "Balsam-Handed"
+	// HeaderOffer tells the handing agent what became of the request.
+	HeaderOffer = "Balsam-Offer"
+	// HeaderLoad carries an agent's load on answers between agents.
+	HeaderLoad = "Balsam-Load"
 )
 
 // Outcome is the value of HeaderOutcome.
@@ -35,29 +41,41 @@
 	OutcomeAlreadyRun Outcome = "already-run"
 )
 
+// The values of HeaderOffer.
 const (
-	maxDeadline = 24 * time.Hour
+	offerRefused  = "refused"
+	offerUnknown  = "unknown"
+	offerAnswered = "answered"
+)
+
+const (
+	maxDeadline  = 24 * time.Hour
+	maxKeyLength = 256
 )
 
 // hopHeaders are the headers that belong to one connection (RFC 9110, 7.6.1),
-// and Expect, which the agent answers itself.
+// Expect, which the agent answers itself, and what only agents say.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+	HeaderHanded, HeaderOffer, HeaderLoad, HeaderOutcome,
 }
 
 // copyEndToEnd copies the headers that are meant for the other end.
 func copyEndToEnd(to, from http.Header) {
-	for name, values := range from {
-		to[name] = append([]string(nil), values...)
+	hop := map[string]bool{}
+	for _, name := range hopHeaders {
+		hop[name] = true
 	}
 	for _, listed := range from.Values("Connection") {
 		for name := range strings.SplitSeq(listed, ",") {
-			to.Del(textproto.TrimString(name))
+			hop[textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name))] = true
 		}
 	}
-	for _, name := range hopHeaders {
-		to.Del(name)
+	for name, values := range from {
+		if !hop[name] {
+			to[name] = append([]string(nil), values...)
+		}
 	}
 }
 
@@ -74,3 +92,29 @@
 	}
 	return time.Duration(ms) * time.Millisecond, true, nil
 }
+
+// idempotent reports whether a repeat of the method has the same effect as one
+// request (RFC 9110, 9.2.2).
+func idempotent(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace,
+		http.MethodPut, http.MethodDelete:
+		return true
+	default:
+		return false
+	}
+}
+
+// idempotencyKey reads the idempotency key, which is empty when there is none.
+func idempotencyKey(r *http.Request) (string, error) {
+	values := r.Header.Values(HeaderKey)
+	switch {
+	case len(values) == 0:
+		return "", nil
+	case len(values) > 1:
+		return "", Error.New("header %s: more than one value", HeaderKey)
+	case values[0] == "" || len(values[0]) > maxKeyLength:
+		return "", Error.New("header %s: want 1 to %d bytes", HeaderKey, maxKeyLength)
+	}
+	return values[0], nil
+}
--- a/internal/target/http1/http1.go
+++ b/internal/target/http1/http1.go
@@ -7,22 +7,19 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/offer"
 	"github.com/balsamlink/balsamlink/internal/target"
 )
 
 const (
 	dialTimeout       = time.Second
-	idleTimeout       = 10 * time.Second
-	maxAnswerHeader   = 64 << 10
 	defaultHealthPoll = 500 * time.Millisecond
 	maxHealthBody     = 4 << 10
 	maxSlots          = 10_000
@@ -60,8 +57,7 @@
 type Module struct {
 	settings Settings
 	log      *logrus.Entry
-	reusing  *http.Transport
-	fresh    *http.Transport
+	client   *offer.Client
 	hints    atomic.Pointer[target.Hints]
 	stop     context.CancelFunc
 	stopped  chan struct{}
@@ -74,9 +70,7 @@
 	}
 	m.log = env.Log
 	m.hints.Store(&target.Hints{Healthy: true})
-	m.reusing = newTransport()
-	m.fresh = newTransport()
-	m.fresh.DisableKeepAlives = true
+	m.client = offer.New(dial)
 	return nil
 }
 
@@ -116,9 +110,8 @@
 		m.stop()
 		<-m.stopped
 	}
-	if m.fresh != nil {
-		m.fresh.CloseIdleConnections()
-		m.reusing.CloseIdleConnections()
+	if m.client != nil {
+		m.client.Close()
 	}
 	return nil
 }
@@ -130,50 +123,15 @@
 func (m *Module) Hints() target.Hints { return *m.hints.Load() }
 
 // Offer implements target.Target.
-//
-// Package net/http repeats some requests by itself, among them bodyless ones
-// with an Idempotency-Key. It does so only on a connection that it used before
-// and with a body that it can read again, so a non-idempotent request gets a
-// connection of its own and no request has a body to read again.
 func (m *Module) Offer(ctx context.Context, request *http.Request) (*http.Response, error) {
-	var conn *offeredConn
-	var before uint64
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn = info.Conn.(*offeredConn)
-		before = conn.count()
-	}}
-	outgoing := request.Clone(httptrace.WithClientTrace(ctx, trace))
-	outgoing.URL.Scheme = "http"
-	outgoing.URL.Host = m.settings.Address.String()
-	outgoing.RequestURI = ""
-	outgoing.GetBody = nil
-	if outgoing.Body == nil || outgoing.Body == http.NoBody {
-		outgoing.Body = emptyBody{}
-		outgoing.ContentLength = 0
-	}
-	response, err := m.transport(outgoing).RoundTrip(outgoing)
+	response, err := m.client.Do(ctx, m.settings.Address.String(), request)
 	if err != nil {
-		sent := conn != nil && conn.seal(before)
-		return nil, &target.OfferError{Sent: sent, Cause: err}
+		return nil, target.Error.Wrap(err)
 	}
 	m.noteDrain(response)
-	if !endIsCheckable(outgoing, response) {
-		response.Body.Close()
-		cause := target.Error.New("the answer has neither a length nor chunks")
-		return nil, &target.OfferError{Sent: true, Incomplete: true, Cause: cause}
-	}
 	return response, nil
 }
 
-func (m *Module) transport(request *http.Request) *http.Transport {
-	switch request.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		return m.reusing
-	default:
-		return m.fresh
-	}
-}
-
 func (m *Module) noteDrain(response *http.Response) {
 	if response.Header.Get(DrainHeader) != DrainValue {
 		return
@@ -183,15 +141,6 @@
 	m.hints.Store(&hints)
 }
 
-// endIsCheckable reports whether a cut in the answer's body would be noticed.
-// A body that ends with its connection gives no such sign.
-func endIsCheckable(request *http.Request, response *http.Response) bool {
-	if response.ContentLength >= 0 || request.Method == http.MethodHead {
-		return true
-	}
-	return len(response.TransferEncoding) > 0
-}
-
 func (m *Module) pollHealth(ctx context.Context) {
 	defer close(m.stopped)
 	if m.settings.HealthPath == "" {
@@ -222,12 +171,12 @@
 	ctx, cancel := context.WithTimeout(ctx, max(interval, dialTimeout))
 	defer cancel()
 	unhealthy := target.Hints{Draining: m.Hints().Draining}
-	url := "http://" + m.settings.Address.String() + m.settings.HealthPath
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	address := m.settings.Address.String()
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+m.settings.HealthPath, nil)
 	if err != nil {
 		return unhealthy
 	}
-	response, err := m.reusing.RoundTrip(request)
+	response, err := m.client.Do(ctx, address, request)
 	if err != nil {
 		return unhealthy
 	}
@@ -244,72 +193,7 @@
 	return target.Hints{Healthy: response.StatusCode == http.StatusOK, Draining: draining}
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:            dial,
-		DisableCompression:     true,
-		IdleConnTimeout:        idleTimeout,
-		MaxIdleConnsPerHost:    64,
-		MaxResponseHeaderBytes: maxAnswerHeader,
-	}
-}
-
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &offeredConn{Conn: conn}, nil
-}
-
-// offeredConn tells whether a request was written to, and forbids writes after
-// that question was answered.
-type offeredConn struct {
-	net.Conn
-	mu     sync.Mutex
-	writes uint64
-	sealed bool
+	return dialer.DialContext(ctx, network, address)
 }
-
-// Write implements net.Conn.
-func (c *offeredConn) Write(data []byte) (int, error) {
-	if err := c.beginWrite(); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(data)
-}
-
-func (c *offeredConn) beginWrite() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.sealed {
-		return target.Error.Wrap(net.ErrClosed)
-	}
-	c.writes++
-	return nil
-}
-
-func (c *offeredConn) count() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.writes
-}
-
-// seal forbids further writes and reports whether any began after before.
-func (c *offeredConn) seal(before uint64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.sealed = true
-	return c.writes > before
-}
-
-// emptyBody has no bytes. Unlike http.NoBody it does not let net/http repeat
-// the request.
-type emptyBody struct{}
-
-// Read implements io.Reader.
-func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
-
-// Close implements io.Closer.
-func (emptyBody) Close() error { return nil }
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -17,8 +17,9 @@
 // use.
 type Target interface {
 	// Offer sends a request to the target at most once and returns its answer
-	// as soon as the header is there. It returns an *OfferError when there is
-	// none. The body of the answer ends with io.EOF only when it is whole.
+	// as soon as the header is there. When there is none the error wraps an
+	// *offer.Failure. The body of the answer ends with io.EOF only when it is
+	// whole.
 	Offer(ctx context.Context, request *http.Request) (*http.Response, error)
 	// Slots is the number of requests that the target can run at once.
 	Slots() int
@@ -34,24 +35,3 @@
 	// Healthy tells that the last health check succeeded.
 	Healthy bool
 }
-
-// OfferError tells why an offered request has no answer.
-type OfferError struct {
-	// Sent tells that at least one byte was written towards the target, so that
-	// it may have run the request.
-	Sent bool
-	// Incomplete tells that the answer came in a form whose end can't be checked.
-	Incomplete bool
-	Cause      error
-}
-
-// Error implements error.
-func (e *OfferError) Error() string {
-	if e.Sent {
-		return "target: outcome unknown: " + e.Cause.Error()
-	}
-	return "target: not sent: " + e.Cause.Error()
-}
-
-// Unwrap returns the cause.
-func (e *OfferError) Unwrap() error { return e.Cause }
