--- a/cmd/balsamdev/main.go
+++ b/cmd/balsamdev/main.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/balsamlink/balsamlink/internal/command"
+	"github.com/balsamlink/balsamlink/internal/experiment"
 	"github.com/balsamlink/balsamlink/internal/load"
 	"github.com/balsamlink/balsamlink/internal/standin/deployment"
 	"github.com/balsamlink/balsamlink/internal/standin/fabric"
@@ -23,6 +24,7 @@
 			fabric.Command(),
 			target.Command(),
 			load.Command(),
+			experiment.Command(),
 		},
 	}
 	os.Exit(command.Execute(root, os.Args))
--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -229,6 +229,9 @@
 	if m.front != nil {
 		err = m.front.Close()
 	}
+	if m.handler != nil {
+		m.handler.Close()
+	}
 	m.running.Wait()
 	return err
 }
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,186 @@
+// Package experiment holds the named measurements: each runs a deployment with
+// real processes on one machine, does something to it under a checked load, and
+// reports figures beside their targets.
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/balsamlink/balsamlink/internal/load"
+	"github.com/balsamlink/balsamlink/internal/standin/deployment"
+	"github.com/balsamlink/balsamlink/internal/standin/fleet"
+)
+
+// Error is the class of all errors of this layer.
+var Error = errs.Class("experiment")
+
+// Env is what an experiment runs with.
+type Env struct {
+	// Programs is the folder with the built programs.
+	Programs string
+	// Folder is where settings and logs go; empty means a temporary folder that
+	// is removed at the end.
+	Folder string
+	Seed   uint64
+	// Scale stretches the times of an experiment; 1 is the full length.
+	Scale float64
+}
+
+// Figure is one measured figure with its target.
+type Figure struct {
+	Name   string  `json:"name"`
+	Value  float64 `json:"value"`
+	Target string  `json:"target,omitempty"`
+	// Met reports whether the value meets the target; true without one.
+	Met bool `json:"met"`
+}
+
+// Result is the outcome of an experiment.
+type Result struct {
+	Name    string   `json:"name"`
+	Seed    uint64   `json:"seed"`
+	Figures []Figure `json:"figures"`
+	// Detail holds what the experiment gives besides its figures.
+	Detail any `json:"detail,omitempty"`
+}
+
+// Met reports whether all figures meet their targets.
+func (r Result) Met() bool {
+	return !slices.ContainsFunc(r.Figures, func(f Figure) bool { return !f.Met })
+}
+
+// AtMost adds a figure that must not be above a limit.
+func (r *Result) AtMost(name string, value, limit float64) {
+	r.Figures = append(r.Figures, Figure{Name: name, Value: value, Target: fmt.Sprintf("<= %g", limit), Met: value <= limit})
+}
+
+// AtLeast adds a figure that must not be below a limit.
+func (r *Result) AtLeast(name string, value, limit float64) {
+	r.Figures = append(r.Figures, Figure{Name: name, Value: value, Target: fmt.Sprintf(">= %g", limit), Met: value >= limit})
+}
+
+// Info adds a figure without a target.
+func (r *Result) Info(name string, value float64) {
+	r.Figures = append(r.Figures, Figure{Name: name, Value: value, Met: true})
+}
+
+// Experiment is one named measurement.
+type Experiment func(ctx context.Context, env Env) (Result, error)
+
+var experiments = map[string]Experiment{}
+
+// Register adds an experiment. It is called from init functions only.
+func Register(name string, experiment Experiment) { experiments[name] = experiment }
+
+// Names returns the names of all experiments in order.
+func Names() []string { return slices.Sorted(maps.Keys(experiments)) }
+
+// Run runs one experiment.
+func Run(ctx context.Context, name string, env Env) (Result, error) {
+	experiment, known := experiments[name]
+	if !known {
+		return Result{}, Error.New("experiment %q is not known; allowed: %v", name, Names())
+	}
+	if env.Folder == "" {
+		folder, err := os.MkdirTemp("", "balsamlink-"+name+"-")
+		if err != nil {
+			return Result{}, Error.Wrap(err)
+		}
+		defer os.RemoveAll(folder)
+		env.Folder = folder
+	}
+	result, err := experiment(ctx, env)
+	result.Name, result.Seed = name, env.Seed
+	return result, err
+}
+
+// String returns the result as one line of JSON.
+func (r Result) String() string {
+	var text strings.Builder
+	encoder := json.NewEncoder(&text)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(r); err != nil {
+		return err.Error()
+	}
+	return strings.TrimSpace(text.String())
+}
+
+// scaled returns a time of the full-length experiment at the env's scale.
+func (e Env) scaled(full time.Duration) time.Duration {
+	return time.Duration(float64(full) * e.Scale)
+}
+
+func (e Env) random() *rand.Rand { return rand.New(rand.NewPCG(e.Seed, e.Seed)) }
+
+func (e Env) start(ctx context.Context, shape deployment.Shape) (*fleet.Fleet, error) {
+	running, err := fleet.Start(ctx, shape, e.Programs, e.Folder)
+	return running, Error.Wrap(err)
+}
+
+// mixedLoad returns a load on all services of a deployment.
+func (e Env) mixedLoad(layout deployment.Layout, duration time.Duration) (load.Config, error) {
+	config := load.Config{
+		Tokens:         layout.Tokens,
+		Feeds:          24,
+		Files:          8,
+		Bookings:       8,
+		Duration:       duration,
+		MaxRequests:    100_000,
+		Pause:          100 * time.Millisecond,
+		RequestTimeout: 30 * time.Second,
+		FileSize:       128 << 10,
+		FeedBlocks:     60,
+		FeedInterval:   50 * time.Millisecond,
+		Seed:           e.Seed,
+	}
+	for _, service := range layout.Services {
+		config.Services = append(config.Services, load.Service{Name: service.Name, Address: service.Address})
+	}
+	var err error
+	config.Authorities, err = load.Authorities(layout.Authority)
+	return config, Error.Wrap(err)
+}
+
+// underLoad runs steps while a load is sent, and returns the record and summary
+// of the load.
+func underLoad(ctx context.Context, config load.Config, layout deployment.Layout, steps func(context.Context) error) (*load.Recorder, load.Summary, error) {
+	type outcome struct {
+		recorder *load.Recorder
+		err      error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		recorder, err := load.Run(ctx, config, nil)
+		done <- outcome{recorder, err}
+	}()
+	stepErr := steps(ctx)
+	ended := <-done
+	if err := errs.Combine(stepErr, ended.err); err != nil {
+		return ended.recorder, load.Summary{}, Error.Wrap(err)
+	}
+	ledger, err := load.FetchLedger(ctx, layout.TargetAddresses())
+	if err != nil {
+		return ended.recorder, load.Summary{}, Error.Wrap(err)
+	}
+	return ended.recorder, ended.recorder.Summarize(ledger), nil
+}
+
+// pause waits, or returns early when the context ends.
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -75,13 +75,22 @@
 		recorder: recorder,
 		number:   number,
 		kind:     kindOf(config, number),
-		service:  config.Services[number%len(config.Services)],
+		service:  serviceOf(config, number),
 		start:    start,
 		random:   rand.New(rand.NewPCG(config.Seed, uint64(number))),
 	}
 	return c
 }
 
+// serviceOf sends files to the last service and all else to the first, as both
+// users' deployments have it.
+func serviceOf(config Config, number int) Service {
+	if kindOf(config, number) == KindFile {
+		return config.Services[len(config.Services)-1]
+	}
+	return config.Services[0]
+}
+
 func kindOf(config Config, number int) Kind {
 	switch {
 	case number < config.Feeds:
--- a/internal/standin/deployment/documents.go
+++ b/internal/standin/deployment/documents.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/shopspring/decimal"
@@ -102,3 +103,35 @@
 	}
 	return cluster.Document{Kind: content.Kind(), Revision: revision, Body: body}, nil
 }
+
+// Prepare brings the operators' first lists to the balancers. It tries again
+// while they are starting.
+func (l Layout) Prepare(ctx context.Context) error {
+	var services []model.Service
+	for _, service := range l.Services {
+		services = append(services, service.Name)
+	}
+	contents := Contents(services)
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		err := l.Offer(ctx, contents, 1)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-ticker.C:
+		}
+	}
+}
+
+// TargetAddresses returns the addresses of all targets.
+func (l Layout) TargetAddresses() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, service := range l.Services {
+		addresses = append(addresses, service.Targets...)
+	}
+	return addresses
+}
