--- a/cmd/balsamdev/main.go
+++ b/cmd/balsamdev/main.go
@@ -10,6 +10,7 @@
 	"github.com/balsamlink/balsamlink/internal/command"
 	"github.com/balsamlink/balsamlink/internal/experiment"
 	"github.com/balsamlink/balsamlink/internal/load"
+	"github.com/balsamlink/balsamlink/internal/standin/bare"
 	"github.com/balsamlink/balsamlink/internal/standin/deployment"
 	"github.com/balsamlink/balsamlink/internal/standin/fabric"
 	"github.com/balsamlink/balsamlink/internal/standin/target"
@@ -22,6 +23,7 @@
 		Commands: []*cli.Command{
 			deployment.Command(),
 			fabric.Command(),
+			bare.Command(),
 			target.Command(),
 			load.Command(),
 			experiment.Command(),
--- /dev/null
+++ b/internal/experiment/datagrams.go
@@ -0,0 +1,264 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/balancer"
+	"github.com/balsamlink/balsamlink/internal/fabric/proxyv2"
+	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/steering"
+	"github.com/balsamlink/balsamlink/internal/wire"
+)
+
+const (
+	// relayGoroutines is the number of goroutines that relay, for both sides.
+	relayGoroutines = 4
+	// senders is the number of sockets that send without a pause.
+	senders = 2
+	// sinkBuffer is the size of the sink's receive buffer, in bytes.
+	sinkBuffer    = 8 << 20
+	datagramsTime = 3 * time.Second
+)
+
+var (
+	anyPort      = netip.MustParseAddrPort("127.0.0.1:0")
+	relayKey     = [32]byte{1}
+	relayService = model.Service("memberdesk")
+	relayAddress = netip.MustParseAddrPort("127.0.0.1:7443")
+)
+
+// compareDatagrams sends the same datagrams through the traffic part of one
+// balancer and through a bare relay, one after the other.
+func compareDatagrams(ctx context.Context, env Env, result *Result) error {
+	through, err := env.balancerRate(ctx)
+	if err != nil {
+		return err
+	}
+	bare, err := env.relayRate(ctx)
+	if err != nil {
+		return err
+	}
+	if bare == 0 {
+		return Error.New("the bare relay passed no datagram")
+	}
+	result.AtLeast("datagrams_per_second_share", through/bare, leastDatagramShare)
+	result.Info("balancer_datagrams_per_second", through)
+	result.Info("bare_datagrams_per_second", bare)
+	return nil
+}
+
+type alwaysFresh struct{}
+
+func (alwaysFresh) Fresh(model.Instant) bool { return true }
+
+// balancerRate returns the datagrams a second that one balancer passes on.
+func (e Env) balancerRate(ctx context.Context) (float64, error) {
+	counted, err := listenSink()
+	if err != nil {
+		return 0, err
+	}
+	defer counted.close()
+	sources, err := openSources()
+	if err != nil {
+		return 0, err
+	}
+	defer sources.close()
+	plugin, traffic, err := startTraffic(sources)
+	if err != nil {
+		return 0, err
+	}
+	defer traffic.Stop()
+	defer plugin.Stop()
+	packet, err := relayedPacket(counted.addr())
+	if err != nil {
+		return 0, err
+	}
+	return e.rate(ctx, sources, plugin.Addr(), packet, counted), nil
+}
+
+func startTraffic(sources sources) (*proxyv2.ProxyV2, *balancer.Traffic, error) {
+	sealer, err := steering.NewSealer(relayKey[:])
+	if err != nil {
+		return nil, nil, Error.Wrap(err)
+	}
+	settings, err := json.Marshal(proxyv2.Settings{Listen: anyPort, Fabric: sources.addresses()})
+	if err != nil {
+		return nil, nil, Error.Wrap(err)
+	}
+	plugin := &proxyv2.ProxyV2{}
+	if err := plugin.Provision(kernel.Env{}, settings); err != nil {
+		return nil, nil, Error.Wrap(err)
+	}
+	if err := plugin.Start(context.Background()); err != nil {
+		return nil, nil, Error.Wrap(err)
+	}
+	traffic, err := balancer.NewTraffic(balancer.TrafficConfig{
+		Fabric: plugin, Data: anyPort, Freshness: alwaysFresh{}, Key: relayKey[:], Zone: "a",
+		Services: map[model.Service]netip.AddrPort{relayService: relayAddress},
+	})
+	if err != nil {
+		return nil, nil, Error.Wrap(err)
+	}
+	traffic.SetTable(steering.NewTable(steering.Input{Services: []model.Service{relayService}, Sealer: sealer}))
+	traffic.Start(relayGoroutines)
+	return plugin, traffic, nil
+}
+
+// relayRate returns the datagrams a second that a bare relay passes on with the
+// same reads and writes.
+func (e Env) relayRate(ctx context.Context) (float64, error) {
+	counted, err := listenSink()
+	if err != nil {
+		return 0, err
+	}
+	defer counted.close()
+	sources, err := openSources()
+	if err != nil {
+		return 0, err
+	}
+	defer sources.close()
+	in, err := listenUDP()
+	if err != nil {
+		return 0, err
+	}
+	out, err := listenUDP()
+	if err != nil {
+		return 0, err
+	}
+	var relays sync.WaitGroup
+	for range relayGoroutines {
+		relays.Go(func() { relay(in, out, counted.addr()) })
+	}
+	packet, err := relayedPacket(counted.addr())
+	if err != nil {
+		return 0, err
+	}
+	rate := e.rate(ctx, sources, in.LocalAddr().(*net.UDPAddr).AddrPort(), packet, counted)
+	in.Close()
+	relays.Wait()
+	return rate, Error.Wrap(out.Close())
+}
+
+func relay(in, out *net.UDPConn, to netip.AddrPort) {
+	buffer := make([]byte, 2*datagramSize)
+	for {
+		n, _, err := in.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		out.WriteToUDPAddrPort(buffer[:n], to)
+	}
+}
+
+// relayedPacket makes a datagram as the fabric sends it, of an established flow
+// whose agent is at an address.
+func relayedPacket(agent netip.AddrPort) ([]byte, error) {
+	sealer, err := steering.NewSealer(relayKey[:])
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	var id [steering.ConnectionIDSize]byte
+	place := steering.Place{Agent: agent, Zone: model.Zone("a").Tag(), Service: relayService.Tag()}
+	if err := sealer.Seal(&id, place, 1, 0); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	header := wire.ProxyHeader{Source: netip.MustParseAddrPort("127.0.0.1:9"), Destination: relayAddress}
+	packet := wire.AppendProxy(nil, header)
+	packet = append(packet, 0x40)
+	packet = append(packet, id[:]...)
+	return append(packet, make([]byte, datagramSize-len(packet))...), nil
+}
+
+// rate sends a datagram without a pause and returns how many of its copies
+// reach the sink in a second.
+func (e Env) rate(ctx context.Context, sources sources, to netip.AddrPort, packet []byte, counted *sink) float64 {
+	ctx, cancel := context.WithTimeout(ctx, e.scaled(datagramsTime))
+	defer cancel()
+	var sending sync.WaitGroup
+	begin := time.Now()
+	for _, socket := range sources {
+		sending.Go(func() {
+			for ctx.Err() == nil {
+				socket.WriteToUDPAddrPort(packet, to)
+			}
+		})
+	}
+	sending.Wait()
+	return float64(counted.count.Load()) / time.Since(begin).Seconds()
+}
+
+// sources are the sockets that datagrams are sent from.
+type sources []*net.UDPConn
+
+func openSources() (sources, error) {
+	var opened sources
+	for range senders {
+		socket, err := listenUDP()
+		if err != nil {
+			opened.close()
+			return nil, err
+		}
+		opened = append(opened, socket)
+	}
+	return opened, nil
+}
+
+func (s sources) addresses() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, socket := range s {
+		addresses = append(addresses, socket.LocalAddr().(*net.UDPAddr).AddrPort())
+	}
+	return addresses
+}
+
+func (s sources) close() {
+	for _, socket := range s {
+		socket.Close()
+	}
+}
+
+// sink counts the datagrams that reach it.
+type sink struct {
+	socket *net.UDPConn
+	count  atomic.Int64
+}
+
+func listenSink() (*sink, error) {
+	socket, err := listenUDP()
+	if err != nil {
+		return nil, err
+	}
+	s := &sink{socket: socket}
+	go s.read()
+	return s, nil
+}
+
+func (s *sink) addr() netip.AddrPort { return s.socket.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+func (s *sink) close() { s.socket.Close() }
+
+func (s *sink) read() {
+	buffer := make([]byte, 2*datagramSize)
+	for {
+		if _, _, err := s.socket.ReadFromUDPAddrPort(buffer); err != nil {
+			return
+		}
+		s.count.Add(1)
+	}
+}
+
+func listenUDP() (*net.UDPConn, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(anyPort))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	socket.SetReadBuffer(sinkBuffer)
+	return socket, nil
+}
--- /dev/null
+++ b/internal/standin/bare/bare.go
@@ -0,0 +1,82 @@
+// Package bare is the baseline of the relay's cost: a QUIC server that answers
+// the load tool's requests itself, without anything between.
+package bare
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"github.com/quic-go/quic-go/http3"
+	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
+
+	"github.com/balsamlink/balsamlink/internal/standin/answer"
+)
+
+// Error is the class of all errors of this layer.
+var Error = errs.Class("bare server")
+
+// Serve answers file requests until the context ends.
+func Serve(ctx context.Context, listen netip.AddrPort, certificate tls.Certificate) error {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listen))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer socket.Close()
+	server := &http3.Server{
+		Handler:   http.HandlerFunc(serveFile),
+		TLSConfig: http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{certificate}}),
+	}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	err = server.Serve(socket)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return Error.Wrap(err)
+}
+
+func serveFile(w http.ResponseWriter, r *http.Request) {
+	size, err := strconv.ParseInt(r.URL.Query().Get(answer.QuerySize), 10, 64)
+	if err != nil || size < 0 {
+		http.Error(w, "size: not a number of bytes", http.StatusBadRequest)
+		return
+	}
+	nonce := r.Header.Get(answer.HeaderNonce)
+	w.Header().Set(answer.HeaderNonce, nonce)
+	w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	io.Copy(w, answer.Body(nonce, size))
+}
+
+// Command returns the command "bare" of balsamdev.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "bare",
+		Usage: "run a QUIC server without a load balancer, as a baseline",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Usage: "UDP address", Required: true},
+			&cli.StringFlag{Name: "certificate", Usage: "PEM `FILE`", Required: true},
+			&cli.StringFlag{Name: "key", Usage: "PEM `FILE`", Required: true},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			listen, err := netip.ParseAddrPort(command.String("listen"))
+			if err != nil {
+				return Error.New("listen: %v", err)
+			}
+			certificate, err := tls.LoadX509KeyPair(command.String("certificate"), command.String("key"))
+			if err != nil {
+				return Error.New("certificate and key: %v", err)
+			}
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return Serve(ctx, listen, certificate)
+		},
+	}
+}
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/zeebo/errs"
 
@@ -22,6 +23,11 @@
 	Services []ServiceShape
 	// Balancers is the number of entry VMs.
 	Balancers int
+	// Bare adds a QUIC server without a load balancer, for comparison.
+	Bare bool
+	// ServiceTime is how long the targets work on a request; 0 stands for the
+	// stand-in's own default.
+	ServiceTime time.Duration
 	// DelayMS is the time from callers to balancers, one way, in milliseconds.
 	DelayMS float64
 }
@@ -61,6 +67,7 @@
 	portOperators = 7003
 	portRelay     = 7004
 	portTarget    = 7005
+	portBare      = 7444
 	portPlatform  = 7006
 	portService   = 7443
 )
@@ -96,7 +103,10 @@
 	return n.addr(octetFabric, octetService+service, portService)
 }
 
-// Balancer returns an address of a balancer.
+// Bare returns the address of the server without a load balancer.
+func (n Net) Bare() netip.AddrPort { return n.addr(octetFabric, 1, portBare) }
+
+// balancer returns an address of a balancer.
 func (n Net) balancer(number int, port uint16) netip.AddrPort {
 	return n.addr(octetBalancer, 1+number, port)
 }
--- a/internal/standin/deployment/layout.go
+++ b/internal/standin/deployment/layout.go
@@ -33,6 +33,8 @@
 	Folder    string           `json:"folder"`
 	Authority string           `json:"authority"`
 	Services  []ServiceAddress `json:"services"`
+	// Bare is the address of the server without a load balancer, if any.
+	Bare netip.AddrPort `json:"bare,omitzero"`
 	// Seeds are the control addresses of the balancers.
 	Seeds []netip.AddrPort `json:"seeds"`
 	// Tokens are the bearer tokens of the deployment's customers.
@@ -79,6 +81,7 @@
 	w.addTargets()
 	w.addBalancers()
 	w.addAgents()
+	w.addBare()
 	w.writeJSON("layout.json", w.layout)
 	return w.layout, w.failed
 }
@@ -146,16 +149,21 @@
 		for number := range service.Servers {
 			w.add(Process{
 				Name: "target-" + string(ServerName(service.Name, number)), Program: "balsamdev",
-				Args: []string{
-					"target", "--listen", w.net.server(i, number, portTarget).String(),
-					"--slots", strconv.Itoa(service.Slots),
-				},
+				Args: w.targetArgs(w.net.server(i, number, portTarget), service.Slots),
 				Zone: w.zone(number),
 			})
 		}
 	}
 }
 
+func (w *writer) targetArgs(listen netip.AddrPort, slots int) []string {
+	arguments := []string{"target", "--listen", listen.String(), "--slots", strconv.Itoa(slots)}
+	if w.shape.ServiceTime > 0 {
+		arguments = append(arguments, "--service", w.shape.ServiceTime.String())
+	}
+	return arguments
+}
+
 func (w *writer) addBalancers() {
 	for number := range w.shape.Balancers {
 		w.layout.Seeds = append(w.layout.Seeds, w.net.balancer(number, portControl))
@@ -195,6 +203,18 @@
 	}
 }
 
+func (w *writer) addBare() {
+	if !w.shape.Bare {
+		return
+	}
+	certificate, key := devcerts.ServiceFiles(w.folder, string(w.shape.Services[0].Name))
+	w.layout.Bare = w.net.Bare()
+	w.add(Process{
+		Name: "bare", Program: "balsamdev",
+		Args: []string{"bare", "--listen", w.net.Bare().String(), "--certificate", certificate, "--key", key},
+	})
+}
+
 func (w *writer) addNode(name model.NodeID, program string, value any, node settings.Node) {
 	file := string(name) + ".json"
 	w.writeJSON(file, value)
