--- a/internal/experiment/relaycost.go
+++ b/internal/experiment/relaycost.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -62,6 +64,8 @@
 	rate       float64
 	cpuRequest float64
 	p50, p99   float64
+	// cpu is the processor time of each kind of process, in µs a request.
+	cpu map[string]float64
 }
 
 func compareRequests(ctx context.Context, env Env, running *fleet.Fleet, result *Result) error {
@@ -83,10 +87,14 @@
 	result.Info("bare_p50_ms", bare.p50)
 	result.Info("path_p99_ms", path.p99)
 	result.Info("bare_p99_ms", bare.p99)
+	for _, kind := range slices.Sorted(maps.Keys(path.cpu)) {
+		result.Info("path_cpu_us_per_request_"+kind, path.cpu[kind])
+	}
 	return nil
 }
 
-// throughput sends requests without a pause. Processor time is that of all
+// throughput sends requests without a pause, once to warm the targets up and
+// once to measure. Processor time is that of all
 // processes of the fleet, not of the callers.
 func (e Env) throughput(ctx context.Context, running *fleet.Fleet, address netip.AddrPort) (throughput, error) {
 	config, err := e.mixedLoad(running.Layout, e.scaled(5*time.Second))
@@ -96,36 +104,49 @@
 	config.Feeds, config.Bookings, config.Files = 0, 0, relayCallers
 	config.Pause, config.FileSize = 0, relayFile
 	config.Services = []load.Service{{Name: running.Layout.Services[0].Name, Address: address}}
-	before := cpuTime(running)
+	if _, err := load.Run(ctx, config, nil); err != nil {
+		return throughput{}, Error.Wrap(err)
+	}
+	before := cpuTimes(running)
 	begin := time.Now()
 	recorder, err := load.Run(ctx, config, nil)
 	if err != nil {
 		return throughput{}, Error.Wrap(err)
 	}
 	elapsed := time.Since(begin).Seconds()
-	used := cpuTime(running) - before
+	after := cpuTimes(running)
 	summary := recorder.Summarize(emptyLedger())
 	if summary.Answered == 0 || summary.Answered != summary.Sent {
 		return throughput{}, Error.New("%d of %d requests were answered", summary.Answered, summary.Sent)
 	}
 	answered := float64(summary.Answered)
-	return throughput{
-		rate:       answered / elapsed,
-		cpuRequest: used * 1e6 / answered,
-		p50:        summary.P50MS,
-		p99:        summary.P99MS,
-	}, nil
+	got := throughput{rate: answered / elapsed, p50: summary.P50MS, p99: summary.P99MS, cpu: map[string]float64{}}
+	for kind, used := range after {
+		got.cpu[kind] = (used - before[kind]) * usPerSecond / answered
+		got.cpuRequest += got.cpu[kind]
+	}
+	return got, nil
 }
 
-// cpuTime returns the processor time of all processes of a fleet, in seconds.
-func cpuTime(running *fleet.Fleet) float64 {
-	sum := 0.0
-	for _, name := range running.Names("") {
-		sum += processTime(running.Pid(name))
+// cpuTimes returns the processor time of each kind of process, in seconds.
+func cpuTimes(running *fleet.Fleet) map[string]float64 {
+	sums := map[string]float64{}
+	for _, spec := range running.Layout.Processes {
+		sums[kindOfProcess(spec)] += processTime(running.Pid(spec.Name))
 	}
-	return sum
+	return sums
 }
 
+// kindOfProcess returns the program, or for the stand-ins which one it is.
+func kindOfProcess(spec deployment.Process) string {
+	if spec.Program == "balsamdev" {
+		return spec.Args[0]
+	}
+	return spec.Program
+}
+
+const usPerSecond = 1e6
+
 func processTime(pid int) float64 {
 	text, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "stat"))
 	if err != nil {
