--- a/internal/ledger/ceilings.go
+++ b/internal/ledger/ceilings.go
@@ -4,8 +4,13 @@
 
 // ceilingWriter follows the one open write of the ceilings.
 type ceilingWriter struct {
-	write uint64
-	open  bool
+	open bool
+}
+
+// stamp returns the identity of the next write.
+func (s *Shard) stamp() Stamp {
+	s.write++
+	return Stamp{Fence: s.fence, Owner: s.owner, Write: s.write}
 }
 
 // CeilingsDue reports whether a write of the ceilings would help.
@@ -24,9 +29,8 @@
 // ProposeCeilings returns the next document to write. Until its outcome is
 // told, the lower of the old and the new ceilings holds.
 func (s *Shard) ProposeCeilings(now Moment, terms Terms) Ceilings {
-	s.ceilings.write++
 	s.ceilings.open = true
-	doc := Ceilings{Fence: s.fence, Write: s.ceilings.write, Closed: s.closed}
+	doc := Ceilings{Stamp: s.stamp(), Closed: s.closed}
 	for _, key := range s.unitKeys() {
 		units := s.units[key]
 		units.raise = false
@@ -34,13 +38,26 @@
 			continue
 		}
 		units.proposed = s.ceilingFor(terms, key, units)
-		doc.Ceilings = append(doc.Ceilings, Ceiling{
-			Month: key.Month, Customer: key.Account.Customer, Service: key.Account.Service, Units: units.proposed,
-		})
+		doc.Ceilings = append(doc.Ceilings, ceilingOf(key, units.proposed))
+	}
+	return doc
+}
+
+// ProposeInherited returns the inherited ceilings under the fence of this
+// keeper. It is the first document that a keeper writes.
+func (s *Shard) ProposeInherited() Ceilings {
+	s.ceilings.open = true
+	doc := Ceilings{Stamp: s.stamp(), Closed: s.closed}
+	for _, key := range s.unitKeys() {
+		doc.Ceilings = append(doc.Ceilings, ceilingOf(key, s.units[key].ceiling))
 	}
 	return doc
 }
 
+func ceilingOf(key unitKey, units uint64) Ceiling {
+	return Ceiling{Month: key.Month, Customer: key.Account.Customer, Service: key.Account.Service, Units: units}
+}
+
 func (s *Shard) unitKeys() []unitKey {
 	keys := make([]unitKey, 0, len(s.units))
 	for key := range s.units {
--- a/internal/ledger/document.go
+++ b/internal/ledger/document.go
@@ -20,13 +20,19 @@
 // KeeperKey returns the platform key of a shard's keeper.
 func KeeperKey(id ShardID) string { return fmt.Sprintf("keepers/%d", id) }
 
+// Stamp identifies one write of a shard's document, which tells after a lost
+// answer whether the write took effect.
+type Stamp struct {
+	Fence Fence `json:"fence"`
+	// Owner is a number that the keeper drew when it took the shard.
+	Owner uint64 `json:"owner"`
+	Write uint64 `json:"write"`
+}
+
 // Ceilings is the persistent document of what may have been granted. No keeper
 // grants beyond it, and a new keeper takes all of it as granted.
 type Ceilings struct {
-	Fence Fence `json:"fence"`
-	// Write numbers the writes of one keeper, which tells after a lost answer
-	// whether the write took effect.
-	Write uint64 `json:"write"`
+	Stamp
 	// Closed is the newest month for which nothing is granted any more.
 	Closed   Month     `json:"closed"`
 	Ceilings []Ceiling `json:"ceilings"`
@@ -45,10 +51,9 @@
 	Month Month   `json:"month"`
 	Used  []Total `json:"used"`
 	// Previous holds the totals of the month before.
-	Previous []Total   `json:"previous,omitempty"`
-	Fence    Fence     `json:"fence"`
-	Write    uint64    `json:"write"`
-	Reports  []Counted `json:"reports,omitempty"`
+	Previous []Total `json:"previous,omitempty"`
+	Stamp
+	Reports []Counted `json:"reports,omitempty"`
 }
 
 // Total is the number of units served to a customer by a service.
--- a/internal/ledger/grant.go
+++ b/internal/ledger/grant.go
@@ -21,6 +21,8 @@
 
 	minRetry   = 50 * time.Millisecond
 	unitsRetry = time.Second
+	// ceilingRetry is when to ask again while the platform takes no writes.
+	ceilingRetry = 200 * time.Millisecond
 )
 
 // ahead returns how many units a keeper reserves beyond what it has granted.
@@ -118,10 +120,14 @@
 	if remaining < a.UnitsPerMonth/scarceFraction {
 		grant.Scarce = true
 	}
-	exhausted := want.Units > 0 && grant.Units == 0
-	if exhausted || units.committed > a.UnitsPerMonth {
+	if units.committed > a.UnitsPerMonth || want.Units > 0 && remaining == 0 && grant.Units == 0 {
 		grant.Refused = ReasonUnits
 		grant.RetryAfterMS = milliseconds(unitsRetry)
+		return
+	}
+	if want.Units > 0 && grant.Units == 0 {
+		grant.Refused = ReasonNoKeeper
+		grant.RetryAfterMS = milliseconds(ceilingRetry)
 	}
 }
 
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -215,7 +215,7 @@
 	request := Request{
 		Shard: id, Fence: s.fence, Node: h.node, Incarnation: h.incarnation, Seq: s.seq, Wants: wants,
 	}
-	s.attachReport(now.At, &request)
+	s.attachReport(now, &request)
 	s.current = &request
 	return request, true
 }
@@ -232,7 +232,7 @@
 		s.forgetIdle(now.At, holding)
 		unsynced := holding.held > 0 && holding.synced != s.fence
 		if len(wants) < MaxWants && (unsynced || holding.due(now.At)) {
-			wants = append(wants, holding.want(now.At))
+			wants = append(wants, holding.want(now.At, closing))
 		}
 	}
 	return wants
--- a/internal/ledger/holding.go
+++ b/internal/ledger/holding.go
@@ -188,9 +188,9 @@
 }
 
 // want forms the part of the next request that speaks of this holding.
-func (h *holding) want(now model.Instant) Want {
+func (h *holding) want(now model.Instant, closing bool) Want {
 	want := Want{Month: h.month, Account: h.account, TokensBack: h.tokensBack, Slots: h.slotsWanted()}
-	if now >= h.retryAt {
+	if now >= h.retryAt && !closing {
 		want.Tokens = h.tokensWanted(now)
 		want.Units = h.unitsWanted(now)
 	}
--- a/internal/ledger/metering.go
+++ b/internal/ledger/metering.go
@@ -24,7 +24,9 @@
 
 type stagedReport struct {
 	counted Counted
-	uses    []Use
+	// formed is when the agent made the report, in hours since 1970.
+	formed uint32
+	uses   []Use
 }
 
 func newMeteringWriter(doc Metering) meteringWriter {
@@ -48,9 +50,10 @@
 			Node:        req.Node,
 			Incarnation: req.Incarnation,
 			Report:      req.Report,
-			Hour:        uint32(now.Wall.Unix() / secondsPerHour),
+			Hour:        hourOf(now),
 		},
-		uses: req.Uses,
+		formed: req.Formed,
+		uses:   req.Uses,
 	}
 	_, writing := w.writing[key]
 	if req.Report == 0 || writing || w.persistent.covers(report.counted) {
@@ -59,6 +62,8 @@
 	w.staged[key] = report
 }
 
+func hourOf(now Moment) uint32 { return uint32(now.Wall.Unix() / secondsPerHour) }
+
 // MeteringDue reports whether reports wait to be written.
 func (s *Shard) MeteringDue() bool { return s.metering.writing == nil && len(s.metering.staged) > 0 }
 
@@ -68,18 +73,17 @@
 	w.writing = w.staged
 	w.staged = map[process]stagedReport{}
 	w.proposed = w.persistent.clone()
-	w.proposed.write++
 	w.proposed.roll(MonthsAt(now.Wall).First)
 	last := MonthsAt(now.Wall).Last
 	for _, key := range sortedProcesses(w.writing) {
 		report := w.writing[key]
-		if !w.proposed.count(report, last) {
+		if !w.proposed.count(report, hourOf(now), last) {
 			report.uses = nil
 			w.writing[key] = report
 		}
 	}
-	w.proposed.forget(uint32(now.Wall.Unix() / secondsPerHour))
-	return w.proposed.document(s.fence)
+	w.proposed.forget(hourOf(now))
+	return w.proposed.document(s.stamp())
 }
 
 // sortedProcesses orders reports so that an older incarnation is counted first.
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -18,8 +18,9 @@
 	uses         []Use
 	// told is the fence of the keeper that has the report.
 	told Fence
-	// formed is when the report was made.
+	// formed and hour are when the report was made, on both clocks.
 	formed model.Instant
+	hour   uint32
 }
 
 func (s *session) reportDue(now model.Instant, closing bool) bool {
@@ -37,7 +38,7 @@
 	return false
 }
 
-func (s *session) attachReport(now model.Instant, request *Request) {
+func (s *session) attachReport(now Moment, request *Request) {
 	if s.report.number == s.report.acknowledged {
 		s.formReport(now)
 	}
@@ -45,10 +46,11 @@
 		return
 	}
 	request.Report = s.report.number
+	request.Formed = s.report.hour
 	request.Uses = s.report.uses
 }
 
-func (s *session) formReport(now model.Instant) {
+func (s *session) formReport(now Moment) {
 	uses := s.pendingUses()
 	if len(uses) == 0 {
 		return
@@ -56,7 +58,8 @@
 	s.report.number++
 	s.report.uses = uses
 	s.report.told = 0
-	s.report.formed = now
+	s.report.formed = now.At
+	s.report.hour = hourOf(now)
 }
 
 func (s *session) pendingUses() []Use {
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -64,6 +64,8 @@
 type Shard struct {
 	id      ShardID
 	fence   Fence
+	owner   uint64
+	write   uint64
 	started model.Instant
 	closing bool
 
@@ -127,11 +129,13 @@
 }
 
 // NewShard starts a keeper from the persistent documents. All that they allow
-// counts as granted. The fence must be higher than that of the documents.
-func NewShard(id ShardID, fence Fence, now Moment, ceilings Ceilings, metering Metering) *Shard {
+// counts as granted. The fence is one above those of the documents, and owner
+// is a number that no other keeper has drawn.
+func NewShard(id ShardID, owner uint64, now Moment, ceilings Ceilings, metering Metering) *Shard {
 	s := &Shard{
 		id:      id,
-		fence:   fence,
+		fence:   max(ceilings.Fence, metering.Fence) + 1,
+		owner:   owner,
 		started: now.At,
 		units:   map[unitKey]*unitState{},
 		closed:  ceilings.Closed,
@@ -143,13 +147,15 @@
 		s.units[key] = &unitState{ceiling: c.Units, proposed: c.Units, committed: c.Units}
 	}
 	s.metering = newMeteringWriter(metering)
-	s.ceilings.write = ceilings.Write
 	return s
 }
 
 // Fence returns the fence of this keeper.
 func (s *Shard) Fence() Fence { return s.fence }
 
+// Owner returns the number that this keeper drew.
+func (s *Shard) Owner() uint64 { return s.owner }
+
 // Exchange serves one request. With final set it grants what it has instead of
 // returning ErrDeferred.
 func (s *Shard) Exchange(now Moment, terms Terms, req Request, final bool) (Reply, error) {
--- a/internal/ledger/totals.go
+++ b/internal/ledger/totals.go
@@ -9,8 +9,11 @@
 
 const (
 	secondsPerHour = 3600
-	// countedHours is how long the newest report of a silent agent is kept.
-	countedHours = 24
+	// reportHours is how old a report may be when it is counted, and
+	// countedHours how long it is remembered that it was. The second is longer,
+	// so that no report is counted after it was forgotten.
+	reportHours  = 24
+	countedHours = 2*reportHours + 1
 )
 
 // totals are the served units of a shard with the reports that are in them.
@@ -19,7 +22,6 @@
 	used     map[Account]uint64
 	previous map[Account]uint64
 	counted  map[model.NodeID]Counted
-	write    uint64
 	// uncounted is the number of units in reports that could not be counted
 	// without the risk of counting them twice.
 	uncounted uint64
@@ -31,7 +33,6 @@
 		used:     unitsOf(doc.Used),
 		previous: unitsOf(doc.Previous),
 		counted:  map[model.NodeID]Counted{},
-		write:    doc.Write,
 	}
 	for _, counted := range doc.Reports {
 		t.counted[counted.Node] = counted
@@ -63,26 +64,19 @@
 	return c.Report <= counted.Report
 }
 
-// follows reports whether a report is the next one of its agent. After the
-// record of an agent was forgotten, nobody can tell which reports are counted.
-func (t *totals) follows(c Counted) bool {
-	counted := t.counted[c.Node]
-	if c.Incarnation != counted.Incarnation {
-		return c.Report == 1
+// count adds a report and returns whether its uses were taken. A report that is
+// covered, or so old that its record may be forgotten, is left out.
+func (t *totals) count(report stagedReport, hour uint32, last Month) bool {
+	fresh := !t.covers(report.counted) && report.formed+reportHours >= hour
+	if !t.covers(report.counted) {
+		t.counted[report.counted.Node] = report.counted
 	}
-	return c.Report == counted.Report+1
-}
-
-// count adds a report and returns whether its uses were taken.
-func (t *totals) count(report stagedReport, last Month) bool {
-	next := t.follows(report.counted)
-	t.counted[report.counted.Node] = report.counted
 	for _, use := range report.uses {
-		if !next || !t.add(use, last) {
+		if !fresh || !t.add(use, last) {
 			t.uncounted += use.Served
 		}
 	}
-	return next
+	return fresh
 }
 
 func (t *totals) add(use Use, last Month) bool {
@@ -128,13 +122,12 @@
 	}
 }
 
-func (t *totals) document(fence Fence) Metering {
+func (t *totals) document(stamp Stamp) Metering {
 	doc := Metering{
 		Month:    t.month,
 		Used:     listOf(t.used),
 		Previous: listOf(t.previous),
-		Fence:    fence,
-		Write:    t.write,
+		Stamp:    stamp,
 	}
 	for _, node := range slices.Sorted(maps.Keys(t.counted)) {
 		doc.Reports = append(doc.Reports, t.counted[node])
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -139,6 +139,8 @@
 	// Report numbers the report in Uses; 0 stands for no report. A report is
 	// repeated unchanged until it is acknowledged.
 	Report uint64
+	// Formed is when the report was made, in hours since 1970.
+	Formed uint32
 	Uses   []Use
 	Wants  []Want
 }
