Make the stateful test of units exhaust accounts and return slices

Cause: units that were given back twice were not noticed, since few accounts ran out of units in a run.

--- a/internal/ledger/machine_test.go
+++ b/internal/ledger/machine_test.go
@@ -49,13 +49,12 @@
 }
 
 type testKeeper struct {
-	shard            *Shard
-	ceilings         *put[Ceilings]
-	metering         *put[Metering]
-	ceilingsVersion  int
-	meteringVersion  int
-	ceilingsReturned bool
-	lost             bool
+	shard           *Shard
+	ceilings        *put[Ceilings]
+	metering        *put[Metering]
+	ceilingsVersion int
+	meteringVersion int
+	lost            bool
 }
 
 type testAgent struct {
@@ -111,7 +110,7 @@
 		admitted: map[unitKey]uint64{},
 	}
 	for _, customer := range testCustomers {
-		m.plans[customer] = plan.Allowance{RequestsPerSecond: 20, Burst: 500, InFlight: 1000, UnitsPerMonth: 300}
+		m.plans[customer] = plan.Allowance{RequestsPerSecond: 20, Burst: 500, InFlight: 1000, UnitsPerMonth: 60}
 	}
 	for _, node := range []model.NodeID{"agent-1", "agent-2", "agent-3"} {
 		m.agents = append(m.agents, &testAgent{node: node})
@@ -146,6 +145,12 @@
 	})
 }
 
+func (m *machine) maybeTakeOver(t *rapid.T) {
+	if rapid.Bool().Draw(t, "take over") {
+		m.takeOver()
+	}
+}
+
 func (m *machine) account(t *rapid.T) Account {
 	return Account{Customer: rapid.SampledFrom(testCustomers).Draw(t, "customer"), Service: testService}
 }
@@ -164,44 +169,37 @@
 func (m *machine) work(t *rapid.T) {
 	agent, account := m.agent(t), m.account(t)
 	burst := rapid.IntRange(1, 60).Draw(t, "burst")
-	for range 4 {
-		burst = m.acquire(agent, account, burst)
-		if burst == 0 {
+	m.advance(500 * time.Millisecond)
+	waiting := m.acquire(agent, burst, func() Decision { return agent.holder.Acquire(m.now, account) })
+	for range 6 {
+		if waiting == 0 {
 			break
 		}
 		m.exchange(t, agent, m.keeper(t))
+		waiting = m.acquire(agent, waiting, func() Decision { return agent.holder.Retry(m.now, account) })
 	}
-	for range burst {
+	for range waiting {
 		agent.holder.Leave(m.now, account)
 	}
 	m.release(agent, rapid.IntRange(0, 3).Draw(t, "released"))
 }
 
-// acquire brings requests and returns how many of them wait.
-func (m *machine) acquire(agent *testAgent, account Account, burst int) int {
+// acquire asks for count requests and returns how many of them wait.
+func (m *machine) acquire(agent *testAgent, count int, ask func() Decision) int {
 	waiting := 0
-	for range burst {
-		decision := m.ask(agent, account)
+	for range count {
+		decision := ask()
 		switch {
 		case decision.Wait:
 			waiting++
 		case decision.Refused == ReasonNone:
 			agent.open = append(agent.open, decision.Permit)
-			m.admitted[unitKey{decision.Permit.Month, account}]++
+			m.admitted[unitKey{decision.Permit.Month, decision.Permit.Account}]++
 		}
 	}
 	return waiting
 }
 
-// ask retries a waiting request before it brings a new one.
-func (m *machine) ask(agent *testAgent, account Account) Decision {
-	holding := agent.holder.sessions[testShard].holdings[account]
-	if holding != nil && holding.waiting > 0 {
-		return agent.holder.Retry(m.now, account)
-	}
-	return agent.holder.Acquire(m.now, account)
-}
-
 // release ends most of the open requests, a part of them as not served.
 func (m *machine) release(agent *testAgent, part int) {
 	for i, permit := range agent.open {
@@ -256,6 +254,16 @@
 	}
 }
 
+// idle lets an agent return what it has not used.
+func (m *machine) idle(t *rapid.T) {
+	agent, keeper := m.agent(t), m.keeper(t)
+	m.advance(idleTime + time.Second)
+	for range 2 {
+		m.exchange(t, agent, keeper)
+		m.write(t, keeper)
+	}
+}
+
 func (m *machine) lateReply(t *rapid.T) {
 	agent := m.agent(t)
 	if len(agent.got) > 0 {
@@ -370,7 +378,7 @@
 func (m *machine) changePlan(t *rapid.T) {
 	customer := rapid.SampledFrom(testCustomers).Draw(t, "customer")
 	allowance := m.plans[customer]
-	allowance.UnitsPerMonth = uint64(rapid.IntRange(0, 400).Draw(t, "units"))
+	allowance.UnitsPerMonth = uint64(rapid.IntRange(0, 80).Draw(t, "units"))
 	m.plans[customer] = allowance
 }
 
@@ -472,11 +480,14 @@
 			"work":        m.work,
 			"work2":       m.work,
 			"work3":       m.work,
+			"work4":       m.work,
+			"work5":       m.work,
 			"exchange":    func(t *rapid.T) { m.exchange(t, m.agent(t), m.keeper(t)) },
+			"idle":        m.idle,
 			"lateReply":   m.lateReply,
 			"write":       func(t *rapid.T) { m.write(t, m.keeper(t)) },
 			"lateWrite":   m.lateWrite,
-			"takeOver":    func(*rapid.T) { m.takeOver() },
+			"takeOver":    m.maybeTakeOver,
 			"kill":        m.kill,
 			"sleep":       m.sleep,
 			"lateInMonth": m.lateInMonth,
