--- /dev/null
+++ b/internal/plan/document.go
@@ -0,0 +1,158 @@
+package plan
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/strictjson"
+)
+
+// Document is one accepted version of one of the operators' documents.
+type Document struct {
+	Header  Header
+	Content Content
+}
+
+// Header tells who made a version of a document, when and how.
+type Header struct {
+	Revision model.Revision `json:"revision"`
+	// Base is the revision that this version was made from.
+	Base model.Revision `json:"base"`
+	// ChangeID names the change that made this version. It is unique.
+	ChangeID string    `json:"change_id"`
+	Author   string    `json:"author"`
+	Time     time.Time `json:"time"`
+	// Changes says in the operators' terms what differs from the version before.
+	Changes []string `json:"changes"`
+	// AuditHead is the end of the audit trail just before the change.
+	AuditHead AuditHead `json:"audit_head"`
+}
+
+// AuditHead names one entry of the audit trail with its hash.
+type AuditHead struct {
+	Sequence uint64 `json:"sequence"`
+	Hash     string `json:"hash"`
+}
+
+// envelope is the stored form of a Document.
+type envelope struct {
+	Header
+	Content json.RawMessage `json:"content"`
+}
+
+// DecodeDocument decodes and checks the stored form of a document. Unknown
+// fields of the header are ignored, so that a newer balsamctl may add some;
+// unknown fields of the content are refused.
+func DecodeDocument(kind model.DocumentKind, body []byte) (Document, error) {
+	if len(body) > MaxDocumentSize {
+		return Document{}, Error.New("%s: document of %d bytes is larger than %d", kind, len(body), MaxDocumentSize)
+	}
+	var stored envelope
+	if err := json.Unmarshal(body, &stored); err != nil {
+		return Document{}, Error.New("%s: %v", kind, err)
+	}
+	if stored.Revision == 0 {
+		return Document{}, Error.New("%s: revision: is missing or 0", kind)
+	}
+	if stored.ChangeID == "" {
+		return Document{}, Error.New("%s: change_id: is missing", kind)
+	}
+	content, err := DecodeContent(kind, stored.Content)
+	if err != nil {
+		return Document{}, err
+	}
+	return Document{Header: stored.Header, Content: content}, nil
+}
+
+// Encode returns the stored form of the document, with its content normalized.
+func (d Document) Encode() ([]byte, error) {
+	content, err := EncodeContent(d.Content)
+	if err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(envelope{Header: d.Header, Content: content})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if len(body) > MaxDocumentSize {
+		kind := d.Content.Kind()
+		return nil, Error.New("%s: document of %d bytes is larger than %d", kind, len(body), MaxDocumentSize)
+	}
+	return body, nil
+}
+
+// DecodeContent decodes and checks the content of a document, which is also
+// the form of the operators' files. Errors about fields wrap
+// *strictjson.Problems.
+func DecodeContent(kind model.DocumentKind, body []byte) (Content, error) {
+	switch kind {
+	case model.DocumentCustomers:
+		return decodeContent[Customers](body)
+	case model.DocumentPlans:
+		return decodeContent[Plans](body)
+	case model.DocumentOut:
+		return decodeContent[Out](body)
+	default:
+		return nil, Error.New("%s is not a known document", kind)
+	}
+}
+
+// EncodeContent returns the normalized form of a content. Equal contents give
+// equal bytes.
+func EncodeContent(content Content) ([]byte, error) {
+	if err := content.Check(); err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(content.Normalized())
+	return body, Error.Wrap(err)
+}
+
+// ContentSHA256 returns the hex hash of the normalized form of a content.
+func ContentSHA256(content Content) (string, error) {
+	body, err := EncodeContent(content)
+	if err != nil {
+		return "", err
+	}
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:]), nil
+}
+
+// KindOf returns the document of a name, as in "customers".
+func KindOf(name string) (model.DocumentKind, bool) {
+	for kind := range model.DocumentKind(model.DocumentCount) {
+		if kind.String() == name {
+			return kind, true
+		}
+	}
+	return 0, false
+}
+
+// Equal reports whether two contents are the same but for order and spelling.
+// Both must pass their checks.
+func Equal(a, b Content) bool {
+	first, err := EncodeContent(a)
+	if err != nil {
+		return false
+	}
+	second, err := EncodeContent(b)
+	return err == nil && a.Kind() == b.Kind() && bytes.Equal(first, second)
+}
+
+func decodeContent[T Content](body []byte) (Content, error) {
+	var content T
+	if len(body) > MaxContentSize {
+		return nil, Error.New("%s: list of %d bytes is larger than %d", content.Kind(), len(body), MaxContentSize)
+	}
+	content, err := strictjson.Decode[T](body)
+	if err != nil {
+		return nil, Error.New("%s: %w", content.Kind(), err)
+	}
+	if err := content.Check(); err != nil {
+		return nil, err
+	}
+	return content, nil
+}
