Reload secrets without a restart and make development certificates

Cause: certificates and keys must change while flows are open, and a newcomer needs certificates at all. Taken: files are read at an interval and compared by contents; bad contents leave the old ones in use and are logged and counted once. Two datagram and two connection-ID keys are accepted while they are rotated, told apart by a number of two bits; the first is used. Each TLS connection uses what is in use when it begins; the client's check of the server is the library's own against the present pool. Ruled out: file notification (one more library, and mounted secrets change by renames of directories); modification times (equal within a second). Failed try: the handshake tests over net.Pipe hung, since a refusing end and a writing end each wait for the other on an unbuffered pipe. They use loopback TCP now.

--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -1,14 +1,13 @@
-// Package keys loads the secrets of a process: the certificate and authority
-// for calls between the system's processes, and the shared keys that
-// authenticate datagrams, seal connection IDs and sign stateless resets.
+// Package keys loads the secrets of a process and loads them anew when their
+// files change: the certificate and authority for calls between the system's
+// processes, the certificate that callers of a service see, and the shared keys
+// that authenticate datagrams, seal connection IDs and sign stateless resets.
 package keys
 
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"encoding/hex"
-	"os"
-	"strings"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -16,114 +15,151 @@
 // Error is the class of all errors of this layer.
 var Error = errs.Class("keys")
 
-// SharedKeySize is the length of each shared key, in bytes.
-const SharedKeySize = 32
-
 // SystemName is the DNS name in every certificate of the system's processes.
 const SystemName = "system.balsamlink.internal"
 
 // Files names the files that hold the secrets of a process.
 type Files struct {
-	// Authority is the PEM file of the system's certificate authority.
-	Authority string `json:"authority"`
+	// Authority is the PEM file of the system's certificate authority. It may
+	// hold several while they are rotated.
+	Authority string `json:"authority" jsonschema:"minLength=1"`
 	// Certificate and Key are the PEM files of this process.
-	Certificate string `json:"certificate"`
-	Key         string `json:"key"`
-	// Shared is a file with one line for each shared key: its name, a space and
-	// 64 hex digits. The names are "datagram", "connection_id" and "reset".
-	Shared string `json:"shared"`
-}
-
-// Shared holds the keys that all processes of a deployment have in common.
-type Shared struct {
-	Datagram     [SharedKeySize]byte
-	ConnectionID [SharedKeySize]byte
-	Reset        [SharedKeySize]byte
+	Certificate string `json:"certificate" jsonschema:"minLength=1"`
+	Key         string `json:"key" jsonschema:"minLength=1"`
+	// Shared is a file with one line for each shared key: its name, a space,
+	// optionally its number (0 to 3) and a space, and 64 hex digits. The names
+	// are "datagram", "connection_id" and "reset". Of two keys with one name,
+	// the first is used and both are accepted.
+	Shared string `json:"shared" jsonschema:"minLength=1"`
 }
 
-// Ring holds the secrets of a process.
+// Ring holds the secrets of a process. All methods are safe for concurrent use.
 type Ring struct {
-	Shared Shared
+	identity *reloadable[identity]
+	shared   *reloadable[Shared]
+}
 
+// identity is the process's certificate and the authorities that it trusts.
+type identity struct {
 	certificate tls.Certificate
 	authorities *x509.CertPool
 }
 
 // Load reads all files and checks their contents.
 func Load(files Files) (*Ring, error) {
-	certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	paths := []string{files.Authority, files.Certificate, files.Key}
+	identity, err := newReloadable("identity", paths, parseIdentity)
 	if err != nil {
-		return nil, Error.New("certificate and key: %v", err)
-	}
-	pem, err := os.ReadFile(files.Authority)
-	if err != nil {
-		return nil, Error.New("authority: %v", err)
-	}
-	authorities := x509.NewCertPool()
-	if !authorities.AppendCertsFromPEM(pem) {
-		return nil, Error.New("authority: %s holds no certificate", files.Authority)
+		return nil, err
 	}
-	shared, err := loadShared(files.Shared)
+	shared, err := newReloadable("shared_keys", []string{files.Shared}, func(contents [][]byte) (*Shared, error) {
+		shared, err := parseShared(contents[0])
+		return &shared, err
+	})
 	if err != nil {
 		return nil, err
 	}
-	return &Ring{Shared: shared, certificate: certificate, authorities: authorities}, nil
+	return &Ring{identity: identity, shared: shared}, nil
 }
 
-// ServerTLS returns the configuration for accepting calls.
+// Shared returns the shared keys in use now.
+func (r *Ring) Shared() Shared { return *r.shared.current.Load() }
+
+// Reloaders returns what a Watcher loads anew.
+func (r *Ring) Reloaders() []Reloader { return []Reloader{r.identity, r.shared} }
+
+// Expires returns when the process's certificate expires.
+func (r *Ring) Expires() time.Time { return r.identity.current.Load().certificate.Leaf.NotAfter }
+
+// ServerTLS returns the configuration for accepting calls. Each connection uses
+// the secrets that are in use when it begins.
 func (r *Ring) ServerTLS() *tls.Config {
 	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{r.certificate},
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		ClientCAs:    r.authorities,
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			identity := r.identity.current.Load()
+			return &tls.Config{
+				MinVersion:             tls.VersionTLS13,
+				Certificates:           []tls.Certificate{identity.certificate},
+				ClientAuth:             tls.RequireAndVerifyClientCert,
+				ClientCAs:              identity.authorities,
+				SessionTicketsDisabled: true,
+			}, nil
+		},
 	}
 }
 
-// ClientTLS returns the configuration for making calls.
+// ClientTLS returns the configuration for making calls. Each connection uses
+// the secrets that are in use when it begins.
 func (r *Ring) ClientTLS() *tls.Config {
 	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{r.certificate},
-		RootCAs:      r.authorities,
-		ServerName:   SystemName,
+		MinVersion: tls.VersionTLS13,
+		ServerName: SystemName,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &r.identity.current.Load().certificate, nil
+		},
+		// The library checks only against a fixed pool, so its check is replaced
+		// by the same check against the pool in use now.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return r.identity.current.Load().verify(state.PeerCertificates, x509.ExtKeyUsageServerAuth)
+		},
 	}
 }
 
-func loadShared(path string) (Shared, error) {
-	text, err := os.ReadFile(path)
+func parseIdentity(contents [][]byte) (*identity, error) {
+	certificate, err := parseCertificate(contents[1], contents[2])
 	if err != nil {
-		return Shared{}, Error.New("shared: %v", err)
+		return nil, err
 	}
-	var shared Shared
-	fields := []struct {
-		name string
-		key  *[SharedKeySize]byte
-	}{
-		{"datagram", &shared.Datagram},
-		{"connection_id", &shared.ConnectionID},
-		{"reset", &shared.Reset},
+	authorities := x509.NewCertPool()
+	if !authorities.AppendCertsFromPEM(contents[0]) {
+		return nil, Error.New("the authority file holds no certificate")
 	}
-	for _, field := range fields {
-		if err := parseShared(string(text), field.name, field.key); err != nil {
-			return Shared{}, err
-		}
+	identity := &identity{certificate: certificate, authorities: authorities}
+	if err := identity.verifyOwn(); err != nil {
+		return nil, Error.New("the certificate does not fit the authority: %v", err)
 	}
-	return shared, nil
+	return identity, nil
 }
 
-func parseShared(text, name string, key *[SharedKeySize]byte) error {
-	for line := range strings.Lines(text) {
-		got, digits, _ := strings.Cut(strings.TrimSpace(line), " ")
-		if got != name {
-			continue
-		}
-		raw, err := hex.DecodeString(digits)
-		if err != nil || len(raw) != SharedKeySize {
-			return Error.New("shared: key %q is not %d hex digits", name, 2*SharedKeySize)
+func parseCertificate(certificate, key []byte) (tls.Certificate, error) {
+	pair, err := tls.X509KeyPair(certificate, key)
+	if err != nil {
+		return tls.Certificate{}, Error.New("certificate and key: %v", err)
+	}
+	if time.Now().After(pair.Leaf.NotAfter) {
+		return tls.Certificate{}, Error.New("the certificate expired at %s", pair.Leaf.NotAfter)
+	}
+	return pair, nil
+}
+
+func (i *identity) verifyOwn() error {
+	var chain []*x509.Certificate
+	for _, raw := range i.certificate.Certificate {
+		parsed, err := x509.ParseCertificate(raw)
+		if err != nil {
+			return Error.Wrap(err)
 		}
-		copy(key[:], raw)
-		return nil
+		chain = append(chain, parsed)
+	}
+	return i.verify(chain, x509.ExtKeyUsageClientAuth)
+}
+
+// verify checks that a chain of certificates is one of the system's.
+func (i *identity) verify(chain []*x509.Certificate, usage x509.ExtKeyUsage) error {
+	if len(chain) == 0 {
+		return Error.New("the peer sent no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, certificate := range chain[1:] {
+		intermediates.AddCert(certificate)
 	}
-	return Error.New("shared: key %q is missing", name)
+	_, err := chain[0].Verify(x509.VerifyOptions{
+		DNSName:       SystemName,
+		Roots:         i.authorities,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{usage},
+	})
+	return Error.Wrap(err)
 }
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,206 @@
+package keys_test
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamlink/balsamlink/internal/devcerts"
+	"github.com/balsamlink/balsamlink/internal/keys"
+	"github.com/balsamlink/balsamlink/internal/observe"
+)
+
+func makeFiles(t *testing.T, directory string, nodes ...string) {
+	require.NoError(t, devcerts.Make(devcerts.Request{Directory: directory, Nodes: nodes, Services: []string{"memberdesk"}}))
+}
+
+func load(t *testing.T, directory, node string) *keys.Ring {
+	ring, err := keys.Load(devcerts.NodeFiles(directory, node))
+	require.NoError(t, err)
+	return ring
+}
+
+// meeting is how a handshake ended at both ends and the names that they saw.
+type meeting struct {
+	clientErr, serverErr error
+	server, client       string
+}
+
+func handshake(t *testing.T, client, server *tls.Config) meeting {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	a, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	b, err := listener.Accept()
+	require.NoError(t, err)
+	defer a.Close()
+	defer b.Close()
+	clientEnd, serverEnd := tls.Client(a, client), tls.Server(b, server)
+	done := make(chan error, 1)
+	go func() {
+		err := serverEnd.Handshake()
+		if err == nil {
+			_, err = serverEnd.Write([]byte("x"))
+		}
+		b.(*net.TCPConn).CloseWrite()
+		done <- err
+	}()
+	var met meeting
+	_, met.clientErr = io.ReadFull(clientEnd, make([]byte, 1))
+	if met.clientErr != nil {
+		a.Close()
+	}
+	met.serverErr = <-done
+	if met.clientErr == nil && met.serverErr == nil {
+		met.server = clientEnd.ConnectionState().PeerCertificates[0].Subject.CommonName
+		met.client = serverEnd.ConnectionState().PeerCertificates[0].Subject.CommonName
+	}
+	return met
+}
+
+func TestOnlyProcessesOfTheSystemTalk(t *testing.T) {
+	ours, theirs := t.TempDir(), t.TempDir()
+	makeFiles(t, ours, "lb-1", "agent-1")
+	makeFiles(t, theirs, "lb-1")
+	balancer, agent, stranger := load(t, ours, "lb-1"), load(t, ours, "agent-1"), load(t, theirs, "lb-1")
+	require.NotEqual(t, balancer.Shared(), stranger.Shared())
+	require.Equal(t, balancer.Shared(), agent.Shared())
+
+	met := handshake(t, agent.ClientTLS(), balancer.ServerTLS())
+	require.Equal(t, meeting{server: "lb-1", client: "agent-1"}, met)
+	require.Error(t, handshake(t, stranger.ClientTLS(), balancer.ServerTLS()).serverErr)
+	require.Error(t, handshake(t, agent.ClientTLS(), stranger.ServerTLS()).clientErr)
+	anonymous := &tls.Config{InsecureSkipVerify: true}
+	require.Error(t, handshake(t, anonymous, balancer.ServerTLS()).serverErr)
+
+	certificate, key := devcerts.ServiceFiles(ours, "memberdesk")
+	service, err := keys.LoadServiceCertificate(certificate, key)
+	require.NoError(t, err)
+	err = handshake(t, agent.ClientTLS(), service.TLS()).clientErr
+	require.Error(t, err, "a service's certificate is not one of the system")
+}
+
+func TestReloadTakesGoodFilesAndKeepsTheOldOnesOtherwise(t *testing.T) {
+	directory := t.TempDir()
+	makeFiles(t, directory, "lb-1", "agent-1")
+	balancer, agent := load(t, directory, "lb-1"), load(t, directory, "agent-1")
+	certificate, key := devcerts.ServiceFiles(directory, "memberdesk")
+	service, err := keys.LoadServiceCertificate(certificate, key)
+	require.NoError(t, err)
+	log, err := observe.NewLog(io.Discard, "")
+	require.NoError(t, err)
+	counters := observe.NewCounters()
+	changes := 0
+	items := append(balancer.Reloaders(), service.Reloader())
+	watcher := keys.NewWatcher(log, counters, func() { changes++ }, items...)
+	counts := func() [3]int64 {
+		values := counters.Values()
+		return [3]int64{int64(changes), values["secrets_reloaded"], values["secrets_refused"]}
+	}
+	talk := func() {
+		met := handshake(t, agent.ClientTLS(), balancer.ServerTLS())
+		require.Equal(t, meeting{server: "lb-1", client: "agent-1"}, met)
+	}
+
+	watcher.Check()
+	require.Equal(t, [3]int64{0, 0, 0}, counts(), "nothing changed")
+
+	files := devcerts.NodeFiles(directory, "lb-1")
+	otherKey, err := os.ReadFile(devcerts.NodeFiles(directory, "agent-1").Key)
+	require.NoError(t, err)
+	oldShared := balancer.Shared()
+	require.NoError(t, os.WriteFile(files.Key, otherKey, 0o600))
+	require.NoError(t, os.Remove(certificate))
+	require.NoError(t, os.WriteFile(files.Shared, []byte("datagram 9 00\n"), 0o600))
+	watcher.Check()
+	watcher.Check()
+	require.Equal(t, [3]int64{0, 0, 3}, counts(), "each bad file is reported once")
+	require.Equal(t, oldShared, balancer.Shared())
+	talk()
+
+	require.NoError(t, os.Remove(files.Shared))
+	makeFiles(t, directory, "lb-1")
+	watcher.Check()
+	require.Equal(t, [3]int64{1, 3, 3}, counts())
+	require.NotEqual(t, oldShared, balancer.Shared())
+	talk()
+
+	// A new authority is taken over together with a certificate that it signed.
+	other := t.TempDir()
+	makeFiles(t, other, "lb-1", "agent-1")
+	theirs := devcerts.NodeFiles(other, "lb-1")
+	for from, to := range map[string]string{theirs.Authority: files.Authority, theirs.Certificate: files.Certificate, theirs.Key: files.Key} {
+		content, err := os.ReadFile(from)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(to, content, 0o600))
+	}
+	watcher.Check()
+	err = handshake(t, agent.ClientTLS(), balancer.ServerTLS()).clientErr
+	require.Error(t, err, "the agent still trusts the old authority only")
+	met := handshake(t, load(t, other, "agent-1").ClientTLS(), balancer.ServerTLS())
+	require.Equal(t, meeting{server: "lb-1", client: "agent-1"}, met)
+}
+
+func TestSharedKeysInRotation(t *testing.T) {
+	directory := t.TempDir()
+	makeFiles(t, directory, "lb-1")
+	files := devcerts.NodeFiles(directory, "lb-1")
+	digits := func(digit string) string { return strings.Repeat(digit, 2*keys.SharedKeySize) }
+	write := func(lines ...string) error {
+		files.Shared = filepath.Join(directory, "rotated.keys")
+		require.NoError(t, os.WriteFile(files.Shared, []byte(strings.Join(lines, "\n")), 0o600))
+		_, err := keys.Load(files)
+		return err
+	}
+	good := []string{"# now", "datagram 2 " + digits("2"), "datagram 1 " + digits("1"),
+		"connection_id " + digits("3"), "reset " + digits("4")}
+	require.NoError(t, write(good...))
+	ring, err := keys.Load(files)
+	require.NoError(t, err)
+	datagram := ring.Shared().DatagramKeys()
+	require.Len(t, datagram, 2)
+	require.Equal(t, keys.KeyNumber(2), datagram[0].Number)
+	require.Equal(t, ring.Shared().Datagram, datagram[0].Secret)
+	require.Equal(t, byte(0x11), datagram[1].Secret[0])
+	require.Len(t, ring.Shared().ConnectionIDKeys(), 1)
+
+	bad := map[string]string{
+		"line 6: key datagram 2 stands twice":   "datagram 2 " + digits("5"),
+		"3 keys named datagram":                 "datagram 3 " + digits("5"),
+		`line 6: key number "4" is not allowed`: "datagram 4 " + digits("5"),
+		`line 6: name "dataframe" is not known`: "dataframe " + digits("5"),
+		"line 6: the last field is not 64 hex":  "connection_id 1 5555",
+		"2 keys named reset":                    "reset 1 " + digits("5"),
+	}
+	for message, line := range bad {
+		err := write(append(good[:len(good):len(good)], line)...)
+		require.ErrorContains(t, err, message)
+		require.NotContains(t, err.Error(), digits("5"), "errors show no secrets")
+	}
+	require.ErrorContains(t, write(good[:4]...), "0 keys named reset")
+}
+
+func TestCertsCommand(t *testing.T) {
+	directory := filepath.Join(t.TempDir(), "new")
+	command := devcerts.Command()
+	command.Writer = io.Discard
+	arguments := []string{"certs", "--out", directory, "--node", "lb-1", "--node", "anele", "--service", "memberdesk"}
+	require.NoError(t, command.Run(context.Background(), arguments))
+	before := load(t, directory, "anele").Shared()
+	makeFiles(t, directory, "lb-2")
+	require.Equal(t, before, load(t, directory, "lb-2").Shared(), "shared keys stay")
+	info, err := os.Stat(devcerts.NodeFiles(directory, "anele").Key)
+	require.NoError(t, err)
+	require.Equal(t, os.FileMode(0o600), info.Mode().Perm())
+	for _, name := range []string{"../x", "", "authority", "service-x"} {
+		require.Error(t, devcerts.Make(devcerts.Request{Directory: directory, Nodes: []string{name}}), name)
+	}
+}
--- /dev/null
+++ b/internal/keys/shared.go
@@ -0,0 +1,162 @@
+package keys
+
+import (
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/zeebo/errs"
+)
+
+// SharedKeySize is the length of each shared key, in bytes.
+const SharedKeySize = 32
+
+// MaxKeyNumber is the largest number of a shared key; it fits two bits.
+const MaxKeyNumber = 3
+
+// maxKeysOfName is how many keys of one name are in use while keys are rotated.
+const maxKeysOfName = 2
+
+// KeyNumber tells which of two keys was used. It is carried in clear.
+type KeyNumber uint8
+
+// Key is a shared key with its number.
+type Key struct {
+	Number KeyNumber
+	Secret [SharedKeySize]byte
+}
+
+// Shared holds the keys that all processes of a deployment have in common.
+// Datagram, ConnectionID and Reset are the keys to send with. While keys are
+// rotated, one other datagram key and connection ID key is accepted too.
+type Shared struct {
+	Datagram     [SharedKeySize]byte
+	ConnectionID [SharedKeySize]byte
+	Reset        [SharedKeySize]byte
+
+	DatagramNumber     KeyNumber
+	ConnectionIDNumber KeyNumber
+	OtherDatagram      *Key
+	OtherConnectionID  *Key
+}
+
+// DatagramKeys returns the keys that datagrams are accepted with. The first is
+// the one to send with.
+func (s Shared) DatagramKeys() []Key {
+	return withOther(Key{Number: s.DatagramNumber, Secret: s.Datagram}, s.OtherDatagram)
+}
+
+// ConnectionIDKeys returns the keys that connection IDs are accepted with. The
+// first is the one to issue with.
+func (s Shared) ConnectionIDKeys() []Key {
+	return withOther(Key{Number: s.ConnectionIDNumber, Secret: s.ConnectionID}, s.OtherConnectionID)
+}
+
+func withOther(current Key, other *Key) []Key {
+	if other == nil {
+		return []Key{current}
+	}
+	return []Key{current, *other}
+}
+
+// The names of the shared keys in their file.
+const (
+	nameDatagram     = "datagram"
+	nameConnectionID = "connection_id"
+	nameReset        = "reset"
+)
+
+// sharedForm describes the lines of the file in errors.
+var sharedForm = fmt.Sprintf(
+	"lines of the form NAME [NUMBER] HEX with the names %s, %s, %s, numbers 0 to %d and %d hex digits",
+	nameDatagram, nameConnectionID, nameReset, MaxKeyNumber, 2*SharedKeySize)
+
+// parseShared reads the file of shared keys. Empty lines and lines that begin
+// with # mean nothing.
+func parseShared(text []byte) (Shared, error) {
+	byName := map[string][]Key{}
+	number := 0
+	for line := range bytes.Lines(text) {
+		number++
+		fields := strings.Fields(string(line))
+		if len(fields) == 0 || strings.HasPrefix(fields[0], "#") {
+			continue
+		}
+		if err := addKey(byName, fields); err != nil {
+			return Shared{}, Error.New("line %d: %v; allowed: %s", number, err, sharedForm)
+		}
+	}
+	return gatherShared(byName)
+}
+
+func addKey(byName map[string][]Key, fields []string) error {
+	name := fields[0]
+	if name != nameDatagram && name != nameConnectionID && name != nameReset {
+		return errs.New("name %q is not known", name)
+	}
+	key, err := parseKey(fields[1:])
+	if err != nil {
+		return err
+	}
+	for _, known := range byName[name] {
+		if known.Number == key.Number {
+			return errs.New("key %s %d stands twice", name, key.Number)
+		}
+	}
+	byName[name] = append(byName[name], key)
+	return nil
+}
+
+// parseKey reads an optional number and the hex digits. Errors never show the
+// digits.
+func parseKey(fields []string) (Key, error) {
+	var key Key
+	if len(fields) == 2 {
+		number, err := strconv.ParseUint(fields[0], 10, 8)
+		if err != nil || number > MaxKeyNumber {
+			return Key{}, errs.New("key number %q is not allowed", fields[0])
+		}
+		key.Number = KeyNumber(number)
+		fields = fields[1:]
+	}
+	if len(fields) != 1 {
+		return Key{}, errs.New("%d fields after the name", len(fields))
+	}
+	secret, err := hex.DecodeString(fields[0])
+	if err != nil || len(secret) != SharedKeySize {
+		return Key{}, errs.New("the last field is not %d hex digits", 2*SharedKeySize)
+	}
+	copy(key.Secret[:], secret)
+	return key, nil
+}
+
+func gatherShared(byName map[string][]Key) (Shared, error) {
+	for _, name := range []string{nameDatagram, nameConnectionID, nameReset} {
+		most := maxKeysOfName
+		if name == nameReset {
+			most = 1
+		}
+		if got := len(byName[name]); got < 1 || got > most {
+			return Shared{}, Error.New("%d keys named %s; allowed: 1 to %d", got, name, most)
+		}
+	}
+	datagram, connectionID := byName[nameDatagram], byName[nameConnectionID]
+	return Shared{
+		Datagram:           datagram[0].Secret,
+		DatagramNumber:     datagram[0].Number,
+		OtherDatagram:      second(datagram),
+		ConnectionID:       connectionID[0].Secret,
+		ConnectionIDNumber: connectionID[0].Number,
+		OtherConnectionID:  second(connectionID),
+		Reset:              byName[nameReset][0].Secret,
+	}, nil
+}
+
+func second(keys []Key) *Key {
+	if len(keys) < 2 {
+		return nil
+	}
+	return &keys[1]
+}
