Keep two starts of a node from sharing an incarnation

Cause: the fuzz found two starts of one node with the same incarnation and different addresses: at first drawn by clocks that stepped back to the same time, then by two starts that each rose by one above the same older record. Their stamps are alike, so no comparison of views finds the difference.

An incarnation now ends in 20 random bits, which rising above another keeps. Ruled out: comparing whole records in the digests, which finds the difference and does not tell which is right.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -107,7 +108,7 @@
 // New makes a node and registers its handlers on the server.
 func New(config Config) (*Node, error) {
 	if config.Self.Incarnation == 0 {
-		config.Self.Incarnation = uint64(max(time.Now().UnixMilli(), 1))
+		config.Self.Incarnation = membership.Birth(time.Now().UnixMilli(), rand.Uint64())
 	}
 	config.Self.Version = max(config.Self.Version, 1)
 	scope := membership.Scope{Service: config.Self.Service}
--- a/internal/membership/fuzz_test.go
+++ b/internal/membership/fuzz_test.go
@@ -34,7 +34,11 @@
 				p := w.pick(t)
 				own := p.self()
 				w.kill(p)
-				w.start(t, own.Node, own.Service, int(own.Control.Port()), w.drawBirth(t))
+				port := int(own.Control.Port())
+				if rapid.Bool().Draw(t, "moves") {
+					port = 400 + w.started
+				}
+				w.start(t, own.Node, own.Service, port, w.drawBirth(t))
 			},
 			"replace": func(t *rapid.T) { w.replace(t) },
 			"pause":   func(t *rapid.T) { w.pick(t).paused = true },
@@ -110,20 +114,21 @@
 	w := &world{cut: map[[2]model.NodeID]bool{}}
 	for i := range 4 {
 		w.seeds = append(w.seeds, address(100+i))
-		w.start(t, model.NodeID(fmt.Sprintf("lb-%d", i)), "", 100+i, firstBirth)
+		w.start(t, model.NodeID(fmt.Sprintf("lb-%d", i)), "", 100+i, Birth(firstBirth, uint64(i)))
 	}
 	for i := range 4 {
 		service := model.Service([]string{"memberdesk", "proofroom"}[i%2])
-		w.start(t, model.NodeID(fmt.Sprintf("agent-%d", i)), service, 200+i, firstBirth)
+		w.start(t, model.NodeID(fmt.Sprintf("agent-%d", i)), service, 200+i, Birth(firstBirth, uint64(i)))
 	}
 	return w
 }
 
 func (w *world) pick(t *rapid.T) *process { return rapid.SampledFrom(w.processes).Draw(t, "process") }
 
-// drawBirth returns a start time by a wall clock that may have stepped back.
+// drawBirth returns an incarnation by a wall clock that may have stepped back.
 func (w *world) drawBirth(t *rapid.T) uint64 {
-	return rapid.Uint64Range(firstBirth-1000, firstBirth+1000).Draw(t, "birth")
+	millis := rapid.Int64Range(firstBirth-1000, firstBirth+1000).Draw(t, "birth")
+	return Birth(millis, uint64(w.started))
 }
 
 // killSome ends one process, or two at once; one balancer always remains.
@@ -202,6 +207,51 @@
 	}
 }
 
+func TestTheNewestNodeOwnsAnAddress(t *testing.T) {
+	w := &world{cut: map[[2]model.NodeID]bool{}}
+	rapid.Check(t, func(t *rapid.T) {
+		old := rapid.Uint64Range(1, 9).Draw(t, "old")
+		fresh := rapid.Uint64Range(1, 9).Draw(t, "new")
+		w.processes = nil
+		w.start(t, "lb-0", "", 100, 1)
+		w.start(t, "z-old", "memberdesk", 200, old)
+		w.start(t, "a-new", "proofroom", 200, fresh)
+		lb, gone, runs := w.processes[0], w.processes[1], w.processes[2]
+		w.merge(t, lb, []Record{gone.self(), runs.self()})
+		runs.table.scope = Scope{}
+		w.merge(t, runs, []Record{gone.self()})
+		runs.table.ClaimAddress(0)
+		w.merge(t, lb, []Record{runs.self()})
+		if _, shown := lb.view.Find("a-new"); !shown {
+			t.Fatalf("shows %v", lb.shown())
+		}
+		if _, shown := lb.view.Find("z-old"); shown {
+			t.Fatalf("shows %v", lb.shown())
+		}
+	})
+}
+
+func TestTheLastBalancerFindsAllOthersDead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{cut: map[[2]model.NodeID]bool{}, seeds: nil}
+		first := rapid.IntRange(0, 1_000_000).Draw(t, "first name")
+		for i := range 7 {
+			w.seeds = append(w.seeds, address(100+i))
+			w.start(t, model.NodeID(fmt.Sprintf("lb-%d", first+i)), "", 100+i, Birth(firstBirth, uint64(i)))
+		}
+		w.settle(t)
+		for range 6 {
+			w.kill(w.processes[1])
+		}
+		for range quietSteps {
+			w.step(t)
+		}
+		if shown := w.processes[0].shown(); len(shown) != 1 {
+			t.Fatalf("shows %v", shown)
+		}
+	})
+}
+
 func TestBadRecordsNameTheField(t *testing.T) {
 	good := Record{
 		Node: "a", Role: model.RoleBalancer, State: StateActive, Incarnation: 1, Version: 1, Control: address(1),
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -93,6 +93,23 @@
 	maxCounter = 1 << 62
 )
 
+// birthRandomBits is the number of low bits of an incarnation that are random.
+const birthRandomBits = 20
+
+// Birth makes the incarnation of a node that starts, from the wall clock in
+// milliseconds and a random number. The random part keeps two starts apart whose
+// clocks show the same time.
+func Birth(unixMillis int64, random uint64) uint64 {
+	millis := uint64(max(unixMillis, 1))
+	return millis<<birthRandomBits | random%(1<<birthRandomBits)
+}
+
+// riseAbove returns the first incarnation above another that keeps the random
+// part of own, so that two starts which rise above the same do not meet.
+func riseAbove(above, own uint64) uint64 {
+	return (above>>birthRandomBits+1)<<birthRandomBits | own%(1<<birthRandomBits)
+}
+
 // Validate tells which field of a record is not acceptable.
 func (r Record) Validate() error {
 	switch {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -185,7 +185,7 @@
 	t.raised, t.raisedAt = true, now
 	held := t.entries[t.self]
 	next := held.record
-	next.Incarnation = above + 1
+	next.Incarnation = riseAbove(above, next.Incarnation)
 	next.Version = 1
 	t.store(held, next, now)
 	return OutcomeRaised
--- a/internal/membership/world_test.go
+++ b/internal/membership/world_test.go
@@ -180,12 +180,23 @@
 		return
 	}
 	tried := append(p.table.DownBalancers(), w.seeds...)
+	tried = append(tried, w.keptSeed())
 	for _, balancer := range p.view.Balancers() {
 		tried = append(tried, balancer.Control)
 	}
 	w.beat(t, p, tried[(w.steps+p.number)%len(tried)])
 }
 
+// keptSeed is what the platform keeps under a lease: a balancer that runs.
+func (w *world) keptSeed() netip.AddrPort {
+	for _, p := range w.processes {
+		if p.balancer() {
+			return p.self().Control
+		}
+	}
+	return address(1)
+}
+
 // beat is a heartbeat followed by a comparison when the digests differ.
 func (w *world) beat(t *rapid.T, p *process, addr netip.AddrPort) {
 	q := w.at(p, addr)
@@ -258,5 +269,5 @@
 }
 
 func describe(r Record) string {
-	return fmt.Sprintf("%s/%d/%d/%s", r.Node, r.Incarnation, r.Version, r.State)
+	return fmt.Sprintf("%s/%d/%d/%s@%d", r.Node, r.Incarnation, r.Version, r.State, r.Control.Port())
 }
