--- /dev/null
+++ b/internal/operator/out.go
@@ -0,0 +1,41 @@
+package operator
+
+import (
+	"context"
+	"slices"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/plan"
+)
+
+// SetZone takes an availability zone out of service, or returns it.
+func (e *Editor) SetZone(ctx context.Context, zone model.Zone, out bool) (Result, error) {
+	return e.Merge(ctx, model.DocumentOut, func(current plan.Content) (plan.Content, error) {
+		list, _ := current.(plan.Out)
+		return checked(withZone(list, zone, out))
+	})
+}
+
+// SetTarget takes a target out of service, or returns it. A target goes by the
+// name of the agent beside it.
+func (e *Editor) SetTarget(ctx context.Context, target model.NodeID, out bool) (Result, error) {
+	return e.Merge(ctx, model.DocumentOut, func(current plan.Content) (plan.Content, error) {
+		list, _ := current.(plan.Out)
+		return checked(plan.Out{Zones: list.Zones, Targets: with(list.Targets, target, out)})
+	})
+}
+
+func checked(list plan.Out) (plan.Content, error) { return list, list.Check() }
+
+func withZone(list plan.Out, zone model.Zone, out bool) plan.Out {
+	return plan.Out{Zones: with(list.Zones, zone, out), Targets: list.Targets}
+}
+
+// with returns a copy of a list that holds the item, or does not.
+func with[T comparable](list []T, item T, held bool) []T {
+	copied := slices.DeleteFunc(slices.Clone(list), func(other T) bool { return other == item })
+	if held {
+		copied = append(copied, item)
+	}
+	return copied
+}
