--- a/internal/agent/packetconn.go
+++ b/internal/agent/packetconn.go
@@ -68,6 +68,7 @@
 	egress     *egress
 	chooser    *steering.Chooser
 
+	arrived  atomic.Uint64
 	received [wire.KindCount]atomic.Uint64
 	handed   atomic.Uint64
 	returned atomic.Uint64
@@ -96,6 +97,7 @@
 		if err != nil {
 			return 0, nil, err
 		}
+		c.arrived.Add(1)
 		caller, payload, deliver := c.receive(unmap(from), c.buffer[:n])
 		if !deliver {
 			continue
--- a/internal/experiment/brokenflows.go
+++ b/internal/experiment/brokenflows.go
@@ -23,7 +23,7 @@
 		return Result{}, err
 	}
 	defer running.Kill()
-	config, err := env.mixedLoad(running.Layout, env.scaled(40*time.Second))
+	config, err := env.mixedLoad(running.Layout)
 	if err != nil {
 		return Result{}, err
 	}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"os"
 	"slices"
 	"strings"
@@ -120,21 +119,19 @@
 	return time.Duration(float64(full) * e.Scale)
 }
 
-func (e Env) random() *rand.Rand { return rand.New(rand.NewPCG(e.Seed, e.Seed)) }
-
 func (e Env) start(ctx context.Context, shape deployment.Shape) (*fleet.Fleet, error) {
 	running, err := fleet.Start(ctx, shape, e.Programs, e.Folder)
 	return running, Error.Wrap(err)
 }
 
 // mixedLoad returns a load on all services of a deployment.
-func (e Env) mixedLoad(layout deployment.Layout, duration time.Duration) (load.Config, error) {
+func (e Env) mixedLoad(layout deployment.Layout) (load.Config, error) {
 	config := load.Config{
 		Tokens:         layout.Tokens,
 		Feeds:          12,
 		Files:          6,
 		Bookings:       6,
-		Duration:       duration,
+		Duration:       maxLoadTime,
 		MaxRequests:    100_000,
 		Pause:          100 * time.Millisecond,
 		RequestTimeout: 30 * time.Second,
@@ -152,18 +149,22 @@
 }
 
 // underLoad runs steps while a load is sent, and returns the record and summary
-// of the load.
+// of the load, which goes on for as long as the steps do.
 func underLoad(ctx context.Context, config load.Config, layout deployment.Layout, steps func(context.Context) error) (*load.Recorder, load.Summary, error) {
 	type outcome struct {
 		recorder *load.Recorder
 		err      error
 	}
 	done := make(chan outcome, 1)
+	stop := make(chan struct{})
+	config.Stop = stop
+	config.Duration = maxLoadTime
 	go func() {
 		recorder, err := load.Run(ctx, config, nil)
 		done <- outcome{recorder, err}
 	}()
 	stepErr := steps(ctx)
+	close(stop)
 	ended := <-done
 	if err := errs.Combine(stepErr, ended.err); err != nil {
 		return ended.recorder, load.Summary{}, Error.Wrap(err)
@@ -175,6 +176,9 @@
 	return ended.recorder, ended.recorder.Summarize(ledger), nil
 }
 
+// maxLoadTime bounds the load beside steps that do not end.
+const maxLoadTime = 10 * time.Minute
+
 // pause waits, or returns early when the context ends.
 func pause(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
--- a/internal/experiment/relaycost.go
+++ b/internal/experiment/relaycost.go
@@ -26,6 +26,7 @@
 	// relayCallers is the number of callers that send without a pause.
 	relayCallers = 32
 	relayFile    = 1 << 10
+	relayTime    = 5 * time.Second
 	// datagramSize is the size of a relayed datagram, in bytes.
 	datagramSize = 1200
 	// clockTick is the unit of processor time in /proc, in seconds.
@@ -97,12 +98,13 @@
 // once to measure. Processor time is that of all
 // processes of the fleet, not of the callers.
 func (e Env) throughput(ctx context.Context, running *fleet.Fleet, address netip.AddrPort) (throughput, error) {
-	config, err := e.mixedLoad(running.Layout, e.scaled(5*time.Second))
+	config, err := e.mixedLoad(running.Layout)
 	if err != nil {
 		return throughput{}, err
 	}
 	config.Feeds, config.Bookings, config.Files = 0, 0, relayCallers
 	config.Pause, config.FileSize = 0, relayFile
+	config.Duration = e.scaled(relayTime)
 	config.Services = []load.Service{{Name: running.Layout.Services[0].Name, Address: address}}
 	if _, err := load.Run(ctx, config, nil); err != nil {
 		return throughput{}, Error.Wrap(err)
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -49,6 +49,9 @@
 	Bookings int
 	// Duration is the time after which no caller starts another request.
 	Duration time.Duration
+	// Stop ends the run early: no request starts after it was closed. It may be
+	// nil.
+	Stop <-chan struct{}
 	// MaxRequests bounds the requests of one caller.
 	MaxRequests int
 	// Pause is the time between two requests of a caller.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -115,7 +115,7 @@
 	defer transport.Close()
 	client := &http.Client{Transport: transport}
 	for sequence := range c.config.MaxRequests {
-		if ctx.Err() != nil || time.Since(c.start) >= c.config.Duration {
+		if ctx.Err() != nil || c.over() {
 			return
 		}
 		c.sendOne(ctx, client, sequence)
@@ -123,6 +123,16 @@
 	}
 }
 
+// over reports whether no more requests are to be started.
+func (c *caller) over() bool {
+	select {
+	case <-c.config.Stop:
+		return true
+	default:
+		return time.Since(c.start) >= c.config.Duration
+	}
+}
+
 func (c *caller) transport(endpoint *quic.Transport) *http3.Transport {
 	return &http3.Transport{
 		TLSClientConfig:    c.config.tlsConfig(c.service),
--- a/internal/standin/deployment/documents.go
+++ b/internal/standin/deployment/documents.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shopspring/decimal"
+	"github.com/zeebo/errs"
 
 	"github.com/balsamlink/balsamlink/internal/cluster"
 	"github.com/balsamlink/balsamlink/internal/devcerts"
@@ -80,15 +81,39 @@
 		if err != nil {
 			return err
 		}
-		for _, seed := range l.Seeds {
-			if _, err := rpc.Call[cluster.Document, cluster.OfferReply](ctx, client, seed, rpc.MethodOffer, document); err != nil {
-				return Error.Wrap(err)
-			}
+		if err := l.offerOne(ctx, client, document); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// offerTimeout bounds the offer to one balancer, which may be paused.
+const offerTimeout = time.Second
+
+// offerOne brings a document to all balancers and succeeds when one took it;
+// the others learn it from there.
+func (l Layout) offerOne(ctx context.Context, client *rpc.Client, document cluster.Document) error {
+	results := make(chan error, len(l.Seeds))
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	for _, seed := range l.Seeds {
+		go func() {
+			_, err := rpc.Call[cluster.Document, cluster.OfferReply](ctx, client, seed, rpc.MethodOffer, document)
+			results <- err
+		}()
+	}
+	var failed errs.Group
+	for range l.Seeds {
+		err := <-results
+		if err == nil {
+			return nil
+		}
+		failed.Add(err)
+	}
+	return Error.Wrap(failed.Err())
+}
+
 func documentOf(content plan.Content, revision model.Revision) (cluster.Document, error) {
 	document := plan.Document{
 		Header: plan.Header{
