--- a/internal/plan/document.go
+++ b/internal/plan/document.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
-	"io"
 	"time"
 
 	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/strictjson"
 )
 
 // Document is one accepted version of one of the operators' documents.
@@ -18,6 +20,8 @@
 // Header tells who made a version of a document, when and how.
 type Header struct {
 	Revision model.Revision `json:"revision"`
+	// Base is the revision that this version was made from.
+	Base model.Revision `json:"base"`
 	// ChangeID names the change that made this version. It is unique.
 	ChangeID string    `json:"change_id"`
 	Author   string    `json:"author"`
@@ -82,7 +86,8 @@
 }
 
 // DecodeContent decodes and checks the content of a document, which is also
-// the form of the operators' files.
+// the form of the operators' files. Errors about fields wrap
+// *strictjson.Problems.
 func DecodeContent(kind model.DocumentKind, body []byte) (Content, error) {
 	switch kind {
 	case model.DocumentCustomers:
@@ -106,6 +111,26 @@
 	return body, Error.Wrap(err)
 }
 
+// ContentSHA256 returns the hex hash of the normalized form of a content.
+func ContentSHA256(content Content) (string, error) {
+	body, err := EncodeContent(content)
+	if err != nil {
+		return "", err
+	}
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:]), nil
+}
+
+// KindOf returns the document of a name, as in "customers".
+func KindOf(name string) (model.DocumentKind, bool) {
+	for kind := range model.DocumentKind(model.DocumentCount) {
+		if kind.String() == name {
+			return kind, true
+		}
+	}
+	return 0, false
+}
+
 // Equal reports whether two contents are the same but for order and spelling.
 // Both must pass their checks.
 func Equal(a, b Content) bool {
@@ -119,16 +144,12 @@
 
 func decodeContent[T Content](body []byte) (Content, error) {
 	var content T
-	if len(body) > MaxDocumentSize {
-		return nil, Error.New("%s: list of %d bytes is larger than %d", content.Kind(), len(body), MaxDocumentSize)
+	if len(body) > MaxContentSize {
+		return nil, Error.New("%s: list of %d bytes is larger than %d", content.Kind(), len(body), MaxContentSize)
 	}
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&content); err != nil {
-		return nil, Error.New("%s: %v", content.Kind(), err)
-	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return nil, Error.New("%s: data follows the end of the list", content.Kind())
+	content, err := strictjson.Decode[T](body)
+	if err != nil {
+		return nil, Error.New("%s: %w", content.Kind(), err)
 	}
 	if err := content.Check(); err != nil {
 		return nil, err
