Replace a half-open connection after the first call that times out

Cause: a connection whose peer had vanished without a reset stayed in use until it was idle for a minute; each heartbeat on it timed out meanwhile.

A call that times out ends its connection when no frame came since it was sent. Ruled out: TCP keep-alive, which takes seconds and says nothing of a process that does not read.

Seen failing without the change: TestHalfOpenConnectionIsReplaced.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamlink/balsamlink/internal/codec"
@@ -15,6 +16,9 @@
 	dialTimeout       = time.Second
 	clientIdleTimeout = time.Minute
 	maxClientConns    = 1024
+	// minSilence is the shortest time without an answer that speaks against a
+	// connection.
+	minSilence = 250 * time.Millisecond
 )
 
 // Client calls peers. It keeps one connection to each address in use. All
@@ -111,6 +115,9 @@
 	dialing sync.Mutex
 	conn    net.Conn
 
+	// received counts the frames that came.
+	received atomic.Uint64
+
 	mu      sync.Mutex
 	writing sync.Mutex
 	nextID  uint64
@@ -164,6 +171,7 @@
 		if err != nil {
 			return
 		}
+		c.received.Add(1)
 		c.mu.Lock()
 		waiter := c.waiting[reply.ID]
 		delete(c.waiting, reply.ID)
@@ -175,6 +183,7 @@
 }
 
 func (c *clientConn) call(ctx context.Context, method Method, body []byte) ([]byte, error) {
+	sent, frames := time.Now(), c.received.Load()
 	id, waiter := c.register()
 	defer c.unregister(id)
 	if err := c.send(envelope{Kind: frameRequest, Method: method, ID: id, Body: body}); err != nil {
@@ -187,10 +196,19 @@
 	case <-c.done:
 		return nil, Error.New("%w: connection to %s ended", ErrNoReply, c.addr)
 	case <-ctx.Done():
+		c.suspect(sent, frames)
 		return nil, Error.New("%w: %v", ErrNoReply, ctx.Err())
 	}
 }
 
+// suspect ends the connection when it has brought nothing since a call was sent
+// that timed out, so that a half-open connection does not outlive the call.
+func (c *clientConn) suspect(sent time.Time, frames uint64) {
+	if time.Since(sent) >= minSilence && c.received.Load() == frames {
+		c.fail()
+	}
+}
+
 func (c *clientConn) register() (uint64, chan envelope) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -13,6 +13,7 @@
 	"math/big"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,6 +46,10 @@
 }
 
 func serve(t *testing.T) (netip.AddrPort, *Client, *x509.CertPool) {
+	return serveOn(t, func(l net.Listener) net.Listener { return l })
+}
+
+func serveOn(t *testing.T, wrap func(net.Listener) net.Listener) (netip.AddrPort, *Client, *x509.CertPool) {
 	certificate, pool := selfSigned(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -61,7 +66,7 @@
 	}))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server.Serve(listener)
+	server.Serve(wrap(listener))
 	t.Cleanup(func() { server.Close() })
 	client := NewClient(&tls.Config{Certificates: []tls.Certificate{certificate}, RootCAs: pool, ServerName: "test"})
 	t.Cleanup(client.Close)
@@ -104,6 +109,52 @@
 	require.Error(t, err)
 }
 
+// deafListener stops reading from the connections that are open when told to.
+type deafListener struct {
+	net.Listener
+	generation atomic.Int64
+}
+
+type deafConn struct {
+	net.Conn
+	listener   *deafListener
+	generation int64
+}
+
+func (l *deafListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &deafConn{conn, l, l.generation.Load()}, nil
+}
+
+func (c *deafConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	for err == nil && c.generation != c.listener.generation.Load() {
+		n, err = c.Conn.Read(p)
+	}
+	return n, err
+}
+
+func TestHalfOpenConnectionIsReplaced(t *testing.T) {
+	var deaf *deafListener
+	addr, client, _ := serveOn(t, func(l net.Listener) net.Listener {
+		deaf = &deafListener{Listener: l}
+		return deaf
+	})
+	call := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*minSilence)
+		defer cancel()
+		_, err := Call[echo, echo](ctx, client, addr, MethodPing, echo{Text: "hi"})
+		return err
+	}
+	require.NoError(t, call())
+	deaf.generation.Add(1)
+	require.ErrorIs(t, call(), ErrNoReply)
+	require.NoError(t, call())
+}
+
 func FuzzReadFrame(f *testing.F) {
 	var good bytes.Buffer
 	require.NoError(f, writeFrame(&good, envelope{Kind: frameRequest, Method: MethodPing, ID: 7, Body: []byte{0xc0}}))
