Add balsamctl, the published schemas and the example lists

Operators had no tool: they need every verb offline-checkable, scriptable and with exit codes that tell faults apart.

Schemas are generated from the types and held against the published files by a test.

Ruled out: asking the platform after the write for the seeds; trusting one seed's word for the whole fleet.

Seen failing against: no offer to the seeds, a wait that ignores the revisions, an audit that ignores faults, a schema of the wrong list.

--- /dev/null
+++ b/cmd/balsamctl/main.go
@@ -0,0 +1,13 @@
+// Command balsamctl is the operators' tool: it edits the lists, takes zones and
+// targets out of service, and shows the audit trail, the forecast and the nodes.
+package main
+
+import (
+	"os"
+
+	"github.com/balsamlink/balsamlink/internal/operator/ctl"
+)
+
+func main() {
+	os.Exit(ctl.Main(os.Args, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/operator/ctl/ctl.go
@@ -0,0 +1,144 @@
+// Package ctl is the command line of balsamctl.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/operator"
+	"github.com/balsamlink/balsamlink/internal/platform"
+)
+
+// The exit codes of balsamctl, beside those of the kernel.
+const (
+	// ExitInvalid tells that a file or a list is not valid.
+	ExitInvalid = 4
+	// ExitRefused tells that a change was not accepted and had no effect.
+	ExitRefused = 5
+	// ExitUnknown tells that it is not known whether a change was accepted.
+	ExitUnknown = 6
+	// ExitNotInForce tells that an accepted change was not seen in force
+	// everywhere in time.
+	ExitNotInForce = 7
+	// ExitAudit tells that the audit trail has faults.
+	ExitAudit = 8
+	// ExitUnavailable tells that the platform did not answer; nothing changed.
+	ExitUnavailable = 9
+)
+
+// errInvalid marks errors of operators' files.
+var errInvalid = errors.New("not valid")
+
+// app is one run of balsamctl.
+type app struct {
+	out io.Writer
+	err io.Writer
+}
+
+// Main runs a command line and returns the exit code.
+func Main(arguments []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	a := &app{out: out, err: errOut}
+	root := a.root()
+	err := root.Run(ctx, arguments)
+	if err != nil {
+		a.fail(root, err)
+	}
+	return exitCode(err)
+}
+
+func (a *app) root() *cli.Command {
+	return &cli.Command{
+		Name:    "balsamctl",
+		Usage:   "edit the lists of customers and plans, take zones and targets out, and see what is in force",
+		Version: version(),
+		Writer:  a.out, ErrWriter: a.err,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "JSON `FILE` with the settings", Sources: cli.EnvVars("BALSAMCTL_SETTINGS")},
+			&cli.BoolFlag{Name: "check-settings", Usage: "check the settings and end", Local: true},
+			&cli.BoolFlag{Name: "json", Usage: "print one JSON object"},
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError:   usageError,
+		Action:         a.checkSettings,
+		Commands: []*cli.Command{
+			a.lint(), a.diff(), a.apply(), a.show(), a.history(), a.zone(), a.target(),
+			a.audit(), a.forecast(), a.status(),
+		},
+	}
+}
+
+func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error { return kernel.Usage(err) }
+
+// verb makes a command with usage errors of the right exit code.
+func verb(name, usage, arguments string, action cli.ActionFunc, flags ...cli.Flag) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage, ArgsUsage: arguments, Action: action, Flags: flags, OnUsageError: usageError,
+	}
+}
+
+// fail tells an error to people on the error output, or to programs as JSON.
+func (a *app) fail(root *cli.Command, err error) {
+	fmt.Fprintf(a.err, "balsamctl: %v\n", err)
+	if root.Bool("json") {
+		_ = a.printJSON(failureOf(err))
+	}
+}
+
+// failure is the JSON form of an error.
+type failure struct {
+	Error    string            `json:"error"`
+	ExitCode int               `json:"exit_code"`
+	Refusal  *operator.Refusal `json:"refusal,omitempty"`
+	Problems []filedProblem    `json:"problems,omitempty"`
+}
+
+func failureOf(err error) failure {
+	result := failure{Error: err.Error(), ExitCode: exitCode(err)}
+	errors.As(err, &result.Refusal)
+	var file *fileError
+	if errors.As(err, &file) {
+		result.Problems = file.problems()
+	}
+	return result
+}
+
+func exitCode(err error) int {
+	var refusal *operator.Refusal
+	switch {
+	case err == nil:
+		return kernel.ExitOK
+	case errors.As(err, &refusal):
+		return ExitRefused
+	case errors.Is(err, operator.ErrOutcomeUnknown):
+		return ExitUnknown
+	case errors.Is(err, operator.ErrNotInForce):
+		return ExitNotInForce
+	case errors.Is(err, operator.ErrAuditFaults):
+		return ExitAudit
+	case errors.Is(err, errInvalid):
+		return ExitInvalid
+	case errors.Is(err, platform.ErrUnavailable):
+		return ExitUnavailable
+	default:
+		return kernel.ExitCode(err)
+	}
+}
+
+func version() string {
+	info, known := debug.ReadBuildInfo()
+	if !known {
+		return "unknown"
+	}
+	return info.Main.Version + " " + info.GoVersion
+}
--- /dev/null
+++ b/internal/operator/ctl/ctl_test.go
@@ -0,0 +1,194 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamlink/balsamlink/internal/cluster"
+	"github.com/balsamlink/balsamlink/internal/devcerts"
+	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/keys"
+	"github.com/balsamlink/balsamlink/internal/membership"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/operator"
+	"github.com/balsamlink/balsamlink/internal/platform"
+	"github.com/balsamlink/balsamlink/internal/rpc"
+	"github.com/balsamlink/balsamlink/internal/standin/memstore"
+	"github.com/balsamlink/balsamlink/internal/status"
+)
+
+// memory is a platform plug-in over the store of the running test.
+type memory struct{ platform.Store }
+
+var current memstore.Store
+
+func (*memory) Provision(kernel.Env, json.RawMessage) error { return nil }
+func (*memory) Validate() error                             { return nil }
+func (*memory) Start(context.Context) error                 { return nil }
+func (*memory) Drain(context.Context) error                 { return nil }
+func (*memory) Stop() error                                 { return nil }
+
+func init() {
+	kernel.Register(kernel.Plugin{Edge: kernel.EdgePlatform, Name: "memory", New: func() kernel.Module {
+		return &memory{current.View(func(string) memstore.Fault { return memstore.None })}
+	}})
+}
+
+// bench is a desk with settings, one seed and an empty platform.
+type bench struct {
+	t        *testing.T
+	dir      string
+	settings string
+
+	mu        sync.Mutex
+	revisions model.Revisions
+	frozen    bool
+}
+
+func newBench(t *testing.T) *bench {
+	current = memstore.Store{}
+	b := &bench{t: t, dir: t.TempDir()}
+	require.NoError(t, devcerts.Make(devcerts.Request{Directory: b.dir, Nodes: []string{"thandi"}}))
+	files := keys.Files{
+		Authority: b.path(devcerts.FileAuthority), Shared: b.path(devcerts.FileShared),
+		Certificate: b.path("thandi.pem"), Key: b.path("thandi.key"),
+	}
+	seed := b.serveSeed(files)
+	text, err := json.Marshal(map[string]any{
+		"author": "thandi", "keys": files, "seeds": []string{seed},
+		"platform": map[string]any{"plugin": "memory", "settings": map[string]any{}},
+	})
+	require.NoError(t, err)
+	b.settings = b.write("settings.json", string(text))
+	return b
+}
+
+// serveSeed starts a node that takes offers and tells its status.
+func (b *bench) serveSeed(files keys.Files) string {
+	ring, err := keys.Load(files)
+	require.NoError(b.t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b.t, err)
+	control := listener.Addr().(*net.TCPAddr).AddrPort()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	server := rpc.NewServer(ring.ServerTLS(), logrus.NewEntry(log))
+	server.Handle(rpc.MethodOffer, rpc.Typed(func(_ context.Context, _ rpc.Peer, d cluster.Document) (cluster.OfferReply, error) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if !b.frozen {
+			b.revisions[d.Kind] = max(b.revisions[d.Kind], d.Revision)
+		}
+		return cluster.OfferReply{Revisions: b.revisions}, nil
+	}))
+	server.Handle(rpc.MethodStatus, rpc.Typed(func(_ context.Context, _ rpc.Peer, _ status.Request) (status.Report, error) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		self := status.Member{Node: "lb-1", Role: model.RoleBalancer, Zone: "gauteng-a", State: membership.StateActive, Control: control}
+		return status.Report{Node: "lb-1", State: membership.StateActive, Revisions: b.revisions, Members: []status.Member{self}}, nil
+	}))
+	server.Serve(listener)
+	b.t.Cleanup(func() { server.Close() })
+	return control.String()
+}
+
+func (b *bench) path(name string) string { return filepath.Join(b.dir, name) }
+
+func (b *bench) write(name, text string) string {
+	require.NoError(b.t, os.WriteFile(b.path(name), []byte(text), 0o600))
+	return b.path(name)
+}
+
+// run runs balsamctl and requires an exit code.
+func (b *bench) run(code int, arguments ...string) string {
+	var out, errOut bytes.Buffer
+	got := Main(append([]string{"balsamctl", "--settings", b.settings}, arguments...), &out, &errOut)
+	require.Equal(b.t, code, got, "%v: %s%s", arguments, &out, &errOut)
+	return out.String() + errOut.String()
+}
+
+func decoded[T any](t *testing.T, text string) T {
+	var value T
+	require.NoError(t, json.NewDecoder(strings.NewReader(text)).Decode(&value), text)
+	return value
+}
+
+func plansFile(units int) string {
+	const form = `{"currency":"ZAR","plans":[{"name":"press","monthly_fee":"100.50","allowances":[{"service":"memberdesk",
+		"requests_per_second":5,"burst":10,"in_flight":4,"units_per_month":%d,"unit_price":"0.25"}]}]}`
+	return fmt.Sprintf(form, units)
+}
+
+const customersFile = `{"customers":[{"name":"paarl-print","plan":"press","credential_sha256":[]}]}`
+
+func TestOperatorsDay(t *testing.T) {
+	b := newBench(t)
+	customers, plans := b.write("customers.json", customersFile), b.write("plans.json", plansFile(1000))
+	require.Empty(t, b.run(kernel.ExitOK, "--check-settings"))
+	require.Contains(t, b.run(kernel.ExitOK, "diff", customers, plans), "customer paarl-print: plan: added press")
+	first := decoded[changed](t, b.run(kernel.ExitOK, "apply", "--json", "--wait", "10s", customers, plans))
+	require.Equal(t, &operator.InForce{Nodes: 1, Behind: []model.NodeID{}, Millis: first.InForce.Millis}, first.InForce)
+	require.Equal(t, model.Revisions{1, 1, 0}, b.revisions)
+	require.Contains(t, b.run(kernel.ExitOK, "apply", customers, plans), "nothing to change at revision 1")
+	again := b.write("again.json", b.run(kernel.ExitOK, "show", "plans"))
+	require.Contains(t, b.run(kernel.ExitOK, "diff", again), "0 differences")
+
+	require.Contains(t, b.run(kernel.ExitOK, "zone", "out", "gauteng-a", "--wait", "10s"), "zone gauteng-a: taken out of service")
+	require.Contains(t, b.run(kernel.ExitOK, "target", "out", "agent-3"), "accepted as revision 2")
+	require.Contains(t, b.run(kernel.ExitOK, "show", "out"), "agent-3")
+	nodes := decoded[map[string][]seenNode](t, b.run(kernel.ExitOK, "status", "--json"))["nodes"]
+	require.Equal(t, &inForce{Customers: 1, Plans: 1, Out: 2}, nodes[0].InForce)
+
+	changed := b.write("plans.json", plansFile(2000))
+	refused := decoded[failure](t, b.run(ExitRefused, "apply", "--json", "--if-revision", "7", changed))
+	require.Equal(t, operator.ReasonRevision, refused.Refusal.Reason)
+	require.Equal(t, "1000", refused.Refusal.Differences[0].Before)
+	require.Contains(t, b.run(kernel.ExitOK, "history", "plans"), "revision: the change was made for revision 7")
+	trail := decoded[operator.AuditReport](t, b.run(kernel.ExitOK, "audit", "--json", "--since", "1h"))
+	require.Len(t, trail.Entries, 5)
+	require.Empty(t, decoded[operator.AuditReport](t, b.run(kernel.ExitOK, "audit", "--json", "--since", "0s")).Entries)
+
+	require.Contains(t, b.run(kernel.ExitOK, "forecast"), "350.5")
+	csv := strings.Split(strings.TrimSpace(b.run(kernel.ExitOK, "forecast", "--csv")), "\n")
+	require.Len(t, csv, 3)
+	require.Contains(t, csv[2], "paarl-print,press,memberdesk,1000,0.25,250,0,0,0")
+}
+
+func TestExitCodesTellFaultsApart(t *testing.T) {
+	b := newBench(t)
+	customers, plans := b.write("customers.json", customersFile), b.write("plans.json", plansFile(1000))
+	bad := b.write("bad.json", `{"customers":[{"name":"a","plan":"gone","credential_sha256":["beef"]}]}`)
+	problems := decoded[failure](t, b.run(ExitInvalid, "lint", "--json", bad, plans)).Problems
+	require.Equal(t, "customers[0].credential_sha256[0]", problems[0].Path)
+	require.Equal(t, bad, problems[0].File)
+	unknown := b.write("unknown.json", strings.ReplaceAll(customersFile, "press", "gone"))
+	require.Contains(t, b.run(ExitInvalid, "lint", unknown, plans), `customers[0].plan: "gone"`)
+	require.Contains(t, b.run(ExitRefused, "apply", customers), "refused (invalid)")
+	for _, arguments := range [][]string{
+		{"frob"}, {"zone", "frob"}, {"zone", "out"}, {"apply"}, {"apply", "--frob"}, {"show", "frob"},
+		{"audit", "--since", "frob"}, {"apply", "--if-revision", "1", customers, plans},
+	} {
+		b.run(kernel.ExitUsage, arguments...)
+	}
+	b.run(kernel.ExitOK, "apply", customers, plans)
+	b.frozen = true
+	require.Contains(t, b.run(ExitNotInForce, "zone", "out", "gauteng-a", "--wait", "300ms"), "in force at 0 of 1 nodes")
+	entry, err := (&memory{current.View(func(string) memstore.Fault { return memstore.None })}).Get(context.Background(), "audit/segments/00000001")
+	require.NoError(t, err)
+	edited := bytes.ReplaceAll(entry.Value, []byte("thandi"), []byte("nobody"))
+	_, err = current.View(func(string) memstore.Fault { return memstore.None }).Put(context.Background(), platform.Write{Key: entry.Key, Value: edited, Expect: entry.Version})
+	require.NoError(t, err)
+	require.Contains(t, b.run(ExitAudit, "audit"), "the entry was edited")
+}
--- /dev/null
+++ b/internal/operator/ctl/look.go
@@ -0,0 +1,258 @@
+package ctl
+
+import (
+	"context"
+	"encoding/csv"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/balsamlink/balsamlink/internal/audit"
+	"github.com/balsamlink/balsamlink/internal/billing"
+	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/operator"
+	"github.com/balsamlink/balsamlink/internal/plan"
+	"github.com/balsamlink/balsamlink/internal/status"
+)
+
+// shown is what show prints of a document.
+type shown struct {
+	Document string `json:"document"`
+	plan.Header
+	Content plan.Content `json:"content"`
+}
+
+func (a *app) show() *cli.Command {
+	return verb("show", "print a document in force, as a file for apply", "customers|plans|out", within(
+		func(ctx context.Context, command *cli.Command, s *session) error {
+			kind, err := kindArgument(command)
+			if err != nil {
+				return err
+			}
+			state, err := operator.ReadDocuments(ctx, s.store)
+			if err != nil {
+				return err
+			}
+			held := state.Held[kind]
+			if held.Damaged != nil {
+				return held.Damaged
+			}
+			if !held.Exists() {
+				return fmt.Errorf("document %s does not exist yet", kind)
+			}
+			content := held.Document.Content.Normalized()
+			if command.Bool("json") {
+				return a.printJSON(shown{kind.String(), held.Document.Header, content})
+			}
+			return a.printJSON(content)
+		}))
+}
+
+func kindArgument(command *cli.Command) (model.DocumentKind, error) {
+	kind, known := plan.KindOf(command.Args().First())
+	if !known || command.Args().Len() != 1 {
+		return 0, kernel.Usage(errors.New("one of customers, plans and out is needed"))
+	}
+	return kind, nil
+}
+
+func (a *app) history() *cli.Command {
+	return verb("history", "list the accepted and refused changes of a document", "customers|plans|out", within(
+		func(ctx context.Context, command *cli.Command, s *session) error {
+			kind, err := kindArgument(command)
+			if err != nil {
+				return err
+			}
+			want := func(entry audit.Entry) bool { return entry.Document == kind.String() }
+			report, err := operator.Audit(ctx, s.store, want)
+			if limit := command.Int("limit"); limit > 0 && len(report.Entries) > limit {
+				report.Entries = report.Entries[len(report.Entries)-limit:]
+			}
+			return a.printAudit(command, report, err)
+		}), &cli.IntFlag{Name: "limit", Usage: "print the newest `N` changes; 0 for all", Value: defaultHistory})
+}
+
+const defaultHistory = 20
+
+func (a *app) audit() *cli.Command {
+	return verb("audit", "check the audit trail and list its entries", " ", within(
+		func(ctx context.Context, command *cli.Command, s *session) error {
+			since, err := parseSince(command.String("since"), time.Now())
+			if err != nil {
+				return kernel.Usage(err)
+			}
+			report, err := operator.Audit(ctx, s.store, func(entry audit.Entry) bool { return !entry.Time.Before(since) })
+			return a.printAudit(command, report, err)
+		}), &cli.StringFlag{Name: "since", Usage: "list entries since `TIME`, as in 2026-12-04, 2026-12-04T06:00:00Z or 24h"})
+}
+
+// parseSince reads a day in UTC, an instant or a duration before now.
+func parseSince(text string, now time.Time) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	if ago, err := time.ParseDuration(text); err == nil && ago >= 0 {
+		return now.Add(-ago), nil
+	}
+	for _, layout := range []string{time.DateOnly, time.RFC3339} {
+		if at, err := time.Parse(layout, text); err == nil {
+			return at, nil
+		}
+	}
+	return time.Time{}, fmt.Errorf("--since %s: allowed: a day, an instant with its zone or a duration", text)
+}
+
+func (a *app) printAudit(command *cli.Command, report operator.AuditReport, err error) error {
+	if err != nil && !errors.Is(err, operator.ErrAuditFaults) {
+		return err
+	}
+	printed := a.print(command, report, func(w io.Writer) {
+		for _, entry := range report.Entries {
+			printEntry(w, entry)
+		}
+		for _, document := range report.Pending {
+			fmt.Fprintf(w, "the newest change of %s gets into the trail with the next change\n", document)
+		}
+		for _, fault := range report.Faults {
+			fmt.Fprintf(w, "FAULT segment %d entry %d: %s\n", fault.Segment, fault.Sequence, fault.Reason)
+		}
+		fmt.Fprintf(w, "end of the trail: entry %d, hash %s\n", report.Head.Sequence, report.Head.Hash)
+	})
+	return errors.Join(err, printed)
+}
+
+func printEntry(w io.Writer, entry audit.Entry) {
+	revisions := fmt.Sprintf("%d -> %d", entry.From, entry.To)
+	if entry.Outcome == audit.Refused {
+		revisions = fmt.Sprintf("at %d", entry.From)
+	}
+	fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", entry.Sequence, entry.Time.Format(time.RFC3339), entry.Author, entry.Document, entry.Outcome, revisions)
+	if entry.Reason != "" {
+		fmt.Fprintf(w, "  %s\n", entry.Reason)
+	}
+	for _, line := range entry.Changes {
+		fmt.Fprintf(w, "  %s\n", line)
+	}
+}
+
+func (a *app) forecast() *cli.Command {
+	return verb("forecast", "next month's bills: the most possible and at the present rate", " ", within(
+		func(ctx context.Context, command *cli.Command, s *session) error {
+			forecast, err := operator.Forecast(ctx, s.store, time.Now())
+			if err != nil {
+				return err
+			}
+			if command.Bool("csv") {
+				return writeCSV(a.out, forecast)
+			}
+			return a.print(command, forecast, func(w io.Writer) { printForecast(w, forecast) })
+		}), &cli.BoolFlag{Name: "csv", Usage: "print one CSV row for each customer and service"})
+}
+
+func printForecast(w io.Writer, forecast billing.Forecast) {
+	fmt.Fprintf(w, "bills of %s in %s; present rate from the use of %s until %s\n\n",
+		forecast.Month, forecast.Currency, forecast.MeteredMonth, forecast.MeteredUntil.Format(time.RFC3339))
+	fmt.Fprintln(w, "CUSTOMER\tPLAN\tMOST POSSIBLE\tAT PRESENT RATE")
+	for _, bill := range forecast.Bills {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", bill.Customer, bill.Plan, bill.MostPossible, bill.RunRate)
+	}
+	fmt.Fprintf(w, "all\t\t%s\t%s\n", forecast.MostPossible, forecast.RunRate)
+}
+
+var csvHeader = []string{
+	"month", "currency", "customer", "plan", "item", "units_per_month", "unit_price", "most_possible",
+	"used_units", "run_rate_units", "run_rate",
+}
+
+// writeCSV writes the fee and each service of each customer as a row of its own,
+// so that the sums of two columns are the two bills.
+func writeCSV(out io.Writer, forecast billing.Forecast) error {
+	w := csv.NewWriter(out)
+	rows := [][]string{csvHeader}
+	for _, bill := range forecast.Bills {
+		begin := []string{string(forecast.Month), forecast.Currency, string(bill.Customer), string(bill.Plan)}
+		fee := bill.MonthlyFee.String()
+		rows = append(rows, append(begin[:4:4], "monthly_fee", "", "", fee, "", "", fee))
+		for _, line := range bill.Lines {
+			rows = append(rows, append(begin[:4:4], string(line.Service),
+				strconv.FormatUint(line.UnitsPerMonth, 10), line.UnitPrice.String(), line.MostPossible.String(),
+				strconv.FormatUint(line.UsedUnits, 10), strconv.FormatUint(line.RunRateUnits, 10), line.RunRate.String()))
+		}
+	}
+	if err := w.WriteAll(rows); err != nil {
+		return err
+	}
+	return w.Error()
+}
+
+// seenNode is what status prints of a node.
+type seenNode struct {
+	Node    model.NodeID   `json:"node"`
+	Role    string         `json:"role"`
+	Zone    model.Zone     `json:"zone"`
+	State   string         `json:"state"`
+	Control string         `json:"control"`
+	InForce *inForce       `json:"in_force,omitempty"`
+	Report  *status.Report `json:"report"`
+	Error   string         `json:"error,omitempty"`
+}
+
+func (a *app) status() *cli.Command {
+	return verb("status", "show all nodes and the revisions in force at each", " ", within(
+		func(ctx context.Context, command *cli.Command, s *session) error {
+			nodes, err := s.fleet(ctx).Status(ctx)
+			if err != nil {
+				return err
+			}
+			list := []seenNode{}
+			for _, node := range nodes {
+				list = append(list, seen(node))
+			}
+			return a.print(command, map[string][]seenNode{"nodes": list}, func(w io.Writer) { printStatus(w, list) })
+		}))
+}
+
+// inForce holds the revisions that are in force at a node.
+type inForce struct {
+	Customers model.Revision `json:"customers"`
+	Plans     model.Revision `json:"plans"`
+	Out       model.Revision `json:"out"`
+}
+
+// seen takes the state from the node's own report, where there is one.
+func seen(node operator.NodeStatus) seenNode {
+	member := node.Member
+	result := seenNode{
+		Node: member.Node, Role: member.Role.String(), Zone: member.Zone, State: member.State.String(),
+		Control: member.Control.String(), Report: node.Report, Error: node.Error,
+	}
+	if node.Report != nil {
+		revisions := node.Report.Revisions
+		result.State = node.Report.State.String()
+		result.InForce = &inForce{
+			Customers: revisions[model.DocumentCustomers], Plans: revisions[model.DocumentPlans],
+			Out: revisions[model.DocumentOut],
+		}
+	}
+	return result
+}
+
+func printStatus(w io.Writer, nodes []seenNode) {
+	fmt.Fprintln(w, "NODE\tROLE\tZONE\tSTATE\tCUSTOMERS\tPLANS\tOUT\tVIEW")
+	for _, node := range nodes {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s", node.Node, node.Role, node.Zone, node.State)
+		if node.Report == nil {
+			fmt.Fprintf(w, "\tno answer: %s\n", node.Error)
+			continue
+		}
+		for _, revision := range node.Report.Revisions {
+			fmt.Fprintf(w, "\t%d", revision)
+		}
+		fmt.Fprintf(w, "\t%d\n", node.Report.ViewSize)
+	}
+}
--- /dev/null
+++ b/internal/operator/ctl/session.go
@@ -0,0 +1,136 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"os"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/keys"
+	"github.com/balsamlink/balsamlink/internal/operator"
+	"github.com/balsamlink/balsamlink/internal/platform"
+	"github.com/balsamlink/balsamlink/internal/rpc"
+	"github.com/balsamlink/balsamlink/internal/settings"
+	"github.com/balsamlink/balsamlink/internal/strictjson"
+)
+
+// Settings are the settings of balsamctl.
+type Settings struct {
+	// Author is the name under which changes stand in the audit trail.
+	Author string     `json:"author" jsonschema:"minLength=1,maxLength=200"`
+	Keys   keys.Files `json:"keys"`
+	// Seeds are control addresses of balancers, for when the platform is silent.
+	Seeds    []netip.AddrPort `json:"seeds,omitempty"`
+	Platform settings.Plugin  `json:"platform"`
+}
+
+// session is what a verb works with.
+type session struct {
+	settings Settings
+	store    platform.Store
+	client   *rpc.Client
+	module   kernel.Module
+}
+
+func readSettings(command *cli.Command) (Settings, error) {
+	path := command.String("settings")
+	if path == "" {
+		return Settings{}, kernel.Usage(errors.New("--settings FILE is needed"))
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, kernel.Usage(err)
+	}
+	read, err := strictjson.Decode[Settings](text)
+	return read, kernel.Usage(err)
+}
+
+// open reads the settings and fits the platform. The session must be closed.
+func open(ctx context.Context, command *cli.Command) (*session, error) {
+	read, err := readSettings(command)
+	if err != nil {
+		return nil, err
+	}
+	s, err := fit(read)
+	if err != nil {
+		return nil, kernel.Usage(err)
+	}
+	if err := s.module.Start(ctx); err != nil {
+		return nil, errors.Join(err, s.close())
+	}
+	return s, nil
+}
+
+// fit prepares the platform and the keys and opens nothing.
+func fit(read Settings) (*session, error) {
+	ring, err := keys.Load(read.Keys)
+	if err != nil {
+		return nil, err
+	}
+	store, module, err := kernel.Fit[platform.Store](kernel.EdgePlatform, read.Platform.Plugin)
+	if err != nil {
+		return nil, err
+	}
+	s := &session{settings: read, store: store, module: module, client: rpc.NewClient(ring.ClientTLS())}
+	if err := provision(module, read.Platform.Settings); err != nil {
+		return nil, errors.Join(err, s.close())
+	}
+	return s, nil
+}
+
+func provision(module kernel.Module, settings json.RawMessage) error {
+	log := logrus.New()
+	log.SetLevel(logrus.WarnLevel)
+	if err := module.Provision(kernel.Env{Log: logrus.NewEntry(log)}, settings); err != nil {
+		return err
+	}
+	return module.Validate()
+}
+
+func (s *session) close() error {
+	s.client.Close()
+	return s.module.Stop()
+}
+
+func (s *session) editor() *operator.Editor {
+	return operator.NewEditor(s.store, s.settings.Author)
+}
+
+func (s *session) fleet(ctx context.Context) *operator.Fleet {
+	return operator.NewFleet(ctx, s.store, s.client, s.settings.Seeds)
+}
+
+// within runs a verb in a session.
+func within(verb func(context.Context, *cli.Command, *session) error) cli.ActionFunc {
+	return func(ctx context.Context, command *cli.Command) (err error) {
+		s, err := open(ctx, command)
+		if err != nil {
+			return err
+		}
+		defer func() { err = errors.Join(err, s.close()) }()
+		return verb(ctx, command, s)
+	}
+}
+
+func (a *app) checkSettings(_ context.Context, command *cli.Command) error {
+	if command.Args().Present() {
+		return kernel.Usage(errors.New("verb " + command.Args().First() + " is not known; see balsamctl --help"))
+	}
+	if !command.Bool("check-settings") {
+		return cli.ShowRootCommandHelp(command)
+	}
+	read, err := readSettings(command)
+	if err != nil {
+		return err
+	}
+	s, err := fit(read)
+	if err != nil {
+		return kernel.Usage(err)
+	}
+	return s.close()
+}
--- a/internal/operator/refusal.go
+++ b/internal/operator/refusal.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 
+	"github.com/zeebo/errs"
+
 	"github.com/balsamlink/balsamlink/internal/billing"
 	"github.com/balsamlink/balsamlink/internal/model"
 	"github.com/balsamlink/balsamlink/internal/plan"
@@ -12,7 +14,14 @@
 // ErrOutcomeUnknown tells that a change may or may not have been accepted,
 // since the platform could not be asked any more. The same command may be given
 // again: it changes nothing that is in force already.
-var ErrOutcomeUnknown = fmt.Errorf("it is not known whether the change was accepted")
+var ErrOutcomeUnknown = errs.New("it is not known whether the change was accepted")
+
+// ErrNotInForce tells that an accepted change was not seen in force at all nodes
+// in time. It stays accepted.
+var ErrNotInForce = errs.New("the change is not in force everywhere yet")
+
+// ErrAuditFaults tells that the audit trail has gaps or edits.
+var ErrAuditFaults = errs.New("the audit trail has faults")
 
 // Reason names why a change was refused.
 type Reason string
--- a/internal/operator/state.go
+++ b/internal/operator/state.go
@@ -71,6 +71,14 @@
 	return documents
 }
 
+func (s State) revisions() model.Revisions {
+	var revisions model.Revisions
+	for i, held := range s.Held {
+		revisions[i] = held.Revision
+	}
+	return revisions
+}
+
 func documentKey(kind model.DocumentKind) string { return cluster.DocumentsPrefix + kind.String() }
 
 // readHeld reads one document.
--- /dev/null
+++ b/internal/plan/schema_test.go
@@ -0,0 +1,46 @@
+package plan
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+const root = "../.."
+
+// UPDATE_SCHEMAS=1 writes the files anew.
+func TestPublishedSchemasAreCurrent(t *testing.T) {
+	schemas, err := Schemas()
+	require.NoError(t, err)
+	require.Len(t, schemas, model.DocumentCount)
+	for name, want := range schemas {
+		path := filepath.Join(root, "schema", name)
+		if os.Getenv("UPDATE_SCHEMAS") != "" {
+			require.NoError(t, os.WriteFile(path, want, 0o644))
+		}
+		published, err := os.ReadFile(path)
+		require.NoError(t, err)
+		require.Equal(t, string(want), string(published), "run UPDATE_SCHEMAS=1 go test ./internal/plan")
+	}
+}
+
+func TestExamplesAreGoodLists(t *testing.T) {
+	for _, user := range []string{"endcap", "marmot"} {
+		var lists Lists
+		for kind, place := range map[model.DocumentKind]func(Content){
+			model.DocumentCustomers: func(c Content) { lists.Customers = c.(Customers) },
+			model.DocumentPlans:     func(c Content) { lists.Plans = c.(Plans) },
+		} {
+			body, err := os.ReadFile(filepath.Join(root, "examples", user, kind.String()+".json"))
+			require.NoError(t, err)
+			content, err := DecodeContent(kind, body)
+			require.NoError(t, err)
+			place(content)
+		}
+		require.NoError(t, CheckReferences(lists.Customers, lists.Plans))
+	}
+}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -23,7 +23,7 @@
 	Service model.Service    `json:"service,omitempty"`
 	State   membership.State `json:"-"`
 	// Revisions are those of the documents in force at the node.
-	Revisions model.Revisions `json:"revisions"`
+	Revisions model.Revisions `json:"-"`
 	// ViewSize is the number of nodes that the node knows, itself included.
 	ViewSize uint32    `json:"view_size"`
 	Counters []Counter `json:"counters"`
