Keep claims in the agents and the roster in the platform

The shell around the booking decisions: claims and outcomes go over the rpc edge, the roster is read and written only when the homes change. An agent that leaves moves its keys first. Tested with real calls over loopback: a repeat at another agent, two homes of five dead with a lost answer of the platform, a leaving home, and no majority with the platform down.

--- /dev/null
+++ b/internal/booking/claims/claims_test.go
@@ -0,0 +1,249 @@
+package claims
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamlink/balsamlink/internal/booking"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/platform"
+	"github.com/balsamlink/balsamlink/internal/request"
+	"github.com/balsamlink/balsamlink/internal/rpc"
+)
+
+// store is a platform of one key. The methods that aren't here aren't used.
+type store struct {
+	platform.Store
+	mu    sync.Mutex
+	entry platform.Entry
+	down  bool
+	// lose makes the next write take effect with a lost answer.
+	lose bool
+}
+
+func (s *store) Get(context.Context, string) (platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Entry{}, platform.Error.Wrap(platform.ErrUnavailable)
+	}
+	if s.entry.Version == 0 {
+		return platform.Entry{}, platform.Error.Wrap(platform.ErrNotFound)
+	}
+	return s.entry, nil
+}
+
+func (s *store) Put(_ context.Context, w platform.Write) (platform.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, platform.Error.Wrap(platform.ErrUnavailable)
+	}
+	if w.Expect != s.entry.Version {
+		return 0, platform.Error.Wrap(platform.ErrConflict)
+	}
+	s.entry = platform.Entry{Key: w.Key, Value: w.Value, Version: s.entry.Version + 1}
+	if s.lose {
+		s.lose = false
+		return 0, platform.Error.Wrap(platform.ErrUnknownOutcome)
+	}
+	return s.entry.Version, nil
+}
+
+// service is a set of agents that know each other.
+type service struct {
+	t       *testing.T
+	store   *store
+	mu      sync.Mutex
+	members []booking.Member
+	keepers map[model.NodeID]*Keeper
+	servers map[model.NodeID]*rpc.Server
+}
+
+func (s *service) Members() []booking.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.members)
+}
+
+func testTLS(t *testing.T) *tls.Config {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), DNSNames: []string{"test"}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	leaf, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		RootCAs:      pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, ServerName: "test",
+	}
+}
+
+func newService(t *testing.T, agents int) *service {
+	s := &service{t: t, store: &store{}, keepers: map[model.NodeID]*Keeper{}, servers: map[model.NodeID]*rpc.Server{}}
+	config := testTLS(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i := range agents {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		self := booking.Member{
+			Node: model.NodeID(fmt.Sprint("agent-", i)), Zone: model.Zone(fmt.Sprint("zone-", i%3)),
+			Control: listener.Addr().(*net.TCPAddr).AddrPort(),
+		}
+		client := rpc.NewClient(config)
+		t.Cleanup(client.Close)
+		k := New(Config{Self: self, Service: "memberdesk", Store: s.store, Directory: s, Client: client, Log: logrus.NewEntry(log)})
+		server := rpc.NewServer(config, logrus.NewEntry(log))
+		k.Register(server)
+		server.Serve(listener)
+		s.members = append(s.members, self)
+		s.keepers[self.Node], s.servers[self.Node] = k, server
+		t.Cleanup(func() { server.Close() })
+	}
+	for _, k := range s.keepers {
+		k.Start()
+		t.Cleanup(k.Close)
+	}
+	s.until(func() bool {
+		for _, k := range s.keepers {
+			if len(k.roster.Load().Members) < min(agents, 3) {
+				return false
+			}
+		}
+		return true
+	})
+	return s
+}
+
+// until waits for a condition that must come true.
+func (s *service) until(condition func() bool) {
+	require.Eventually(s.t, condition, 20*time.Second, 20*time.Millisecond)
+}
+
+func (s *service) remove(node model.NodeID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members = slices.DeleteFunc(s.members, func(m booking.Member) bool { return m.Node == node })
+}
+
+// home returns an agent that is a home, or one that is none.
+func (s *service) home(is bool) *Keeper {
+	for _, member := range s.Members() {
+		if k := s.keepers[member.Node]; k.isHome() == is {
+			return k
+		}
+	}
+	s.t.Fatal("no such agent")
+	return nil
+}
+
+func key(name string) request.Key {
+	return request.Key{Service: "memberdesk", Customer: "c", Key: name}
+}
+
+func (s *service) outcome(k *Keeper, name string) *request.KnownError {
+	claim, err := k.Claim(context.Background(), key(name))
+	if err == nil {
+		claim.Release()
+		return nil
+	}
+	var known *request.KnownError
+	require.ErrorAs(s.t, err, &known)
+	return known
+}
+
+func TestRepeatGetsTheRecordedAnswer(t *testing.T) {
+	s := newService(t, 4)
+	for i := range 4 {
+		name := fmt.Sprint("key-", i)
+		first, other := s.keepers["agent-0"], s.keepers[model.NodeID(fmt.Sprint("agent-", i))]
+		claim, err := first.Claim(context.Background(), key(name))
+		require.NoError(t, err)
+		require.Equal(t, request.OutcomeInProgress, s.outcome(other, name).Outcome)
+		stored := request.Stored{Status: 201, Header: http.Header{"A": {"b"}}, Body: []byte("whole")}
+		claim.Answered(stored)
+		s.until(func() bool { return s.outcome(other, name).Outcome == request.OutcomeAlreadyRun })
+		require.Equal(t, stored, s.outcome(first, name).Answer)
+	}
+	claim, err := s.keepers["agent-1"].Claim(context.Background(), key("released"))
+	require.NoError(t, err)
+	claim.Release()
+	s.until(func() bool { return s.outcome(s.keepers["agent-2"], "released") == nil })
+}
+
+// TestKeysSurviveADeadHome ends a home at once, with a lost answer of the
+// platform while it is replaced.
+func TestKeysSurviveADeadHome(t *testing.T) {
+	s := newService(t, 5)
+	s.until(func() bool { return len(s.keepers["agent-0"].roster.Load().Members) == 5 })
+	_, err := s.keepers["agent-0"].Claim(context.Background(), key("kept"))
+	require.NoError(t, err)
+	before := s.keepers["agent-0"].roster.Load().ID.Epoch
+	s.store.mu.Lock()
+	s.store.lose = true
+	s.store.mu.Unlock()
+	for _, dead := range []model.NodeID{"agent-3", "agent-4"} {
+		s.servers[dead].Close()
+		s.remove(dead)
+	}
+	require.NotNil(t, s.outcome(s.keepers["agent-1"], "kept"), "three of five homes are left")
+	s.until(func() bool {
+		roster := s.keepers["agent-2"].roster.Load()
+		return roster.ID.Epoch > before && len(roster.Members) == 3
+	})
+	for _, node := range []model.NodeID{"agent-0", "agent-1", "agent-2"} {
+		require.Equal(t, request.OutcomeInProgress, s.outcome(s.keepers[node], "kept").Outcome)
+	}
+}
+
+func TestLeavingHomeHandsItsKeysOver(t *testing.T) {
+	s := newService(t, 4)
+	s.until(func() bool { return len(s.keepers["agent-0"].roster.Load().Members) == 3 })
+	leaver, guest := s.home(true), s.home(false)
+	_, err := leaver.Claim(context.Background(), key("moved"))
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, leaver.Leave(ctx), "the others still take it for an active agent")
+	s.remove(leaver.config.Self.Node)
+	s.servers[leaver.config.Self.Node].Close()
+	s.until(func() bool { return guest.isHome() })
+	require.Equal(t, request.OutcomeInProgress, s.outcome(guest, "moved").Outcome)
+}
+
+// TestNoMajorityNoClaim checks that a service that lost most homes at once, with
+// the platform down, refuses rather than runs a key twice.
+func TestNoMajorityNoClaim(t *testing.T) {
+	s := newService(t, 3)
+	s.until(func() bool { return len(s.keepers["agent-0"].roster.Load().Members) == 3 })
+	s.store.mu.Lock()
+	s.store.down = true
+	s.store.mu.Unlock()
+	s.servers["agent-1"].Close()
+	s.servers["agent-2"].Close()
+	_, err := s.keepers["agent-0"].Claim(context.Background(), key("refused"))
+	require.ErrorContains(t, err, "too few homes")
+}
--- /dev/null
+++ b/internal/booking/claims/rosters.go
@@ -0,0 +1,305 @@
+package claims
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/balsamlink/balsamlink/internal/booking"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/platform"
+)
+
+const (
+	pollInterval = 200 * time.Millisecond
+	// settleTime is how long the wanted homes must differ from the roster before
+	// it is replaced, and stagger the time between two agents that do so.
+	settleTime = 2 * time.Second
+	stagger    = time.Second
+	// platformInterval is the shortest time between two reads of the platform,
+	// and platformBackoff the longest while it fails.
+	platformInterval = time.Second
+	platformBackoff  = 16 * time.Second
+	platformTimeout  = 2 * time.Second
+	// refreshInterval is the time between two questions for a newer roster.
+	refreshInterval = 30 * time.Second
+	changeTimeout   = 5 * time.Second
+	// goneAfter is how long a home must be out of the directory to count as dead
+	// for good.
+	goneAfter = 10 * time.Minute
+)
+
+// rosters is the control goroutine's state.
+type rosters struct {
+	keeper   *Keeper
+	started  model.Instant
+	lastSeen map[model.NodeID]model.Instant
+	// blockedID is a roster of which too many homes have lost their memory, and
+	// blockedSince when that was found.
+	blockedID    booking.RosterID
+	blockedSince model.Instant
+	differsSince model.Instant
+	refreshed    model.Instant
+	nextPlatform model.Instant
+	backoff      time.Duration
+}
+
+func newRosters(k *Keeper) *rosters {
+	return &rosters{keeper: k, lastSeen: map[model.NodeID]model.Instant{}, backoff: platformInterval}
+}
+
+func (r *rosters) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.started = model.Now()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		kicked := false
+		select {
+		case <-r.keeper.done:
+			return
+		case <-r.keeper.kick:
+			kicked = true
+		case <-ticker.C:
+		}
+		r.step(ctx, kicked)
+	}
+}
+
+// step looks for a newer roster when there is a reason to, and replaces the
+// roster when its homes are not the wanted ones.
+func (r *rosters) step(ctx context.Context, kicked bool) {
+	now := model.Now()
+	roster := *r.keeper.roster.Load()
+	if roster.ID.Epoch == 0 || kicked || now.Sub(r.refreshed) >= refreshInterval {
+		r.refreshed = now
+		if r.askPeer(ctx, roster) {
+			return
+		}
+	}
+	members := r.keeper.members()
+	for _, member := range members {
+		r.lastSeen[member.Node] = now
+	}
+	wanted := booking.Choose(roster, members)
+	if len(wanted) == 0 || now < r.nextPlatform {
+		return
+	}
+	if !r.due(now, roster, members, wanted) && !(kicked && roster.ID.Epoch == 0) {
+		return
+	}
+	r.replace(ctx, wanted)
+}
+
+// due reports whether it is this agent's turn to replace the roster.
+func (r *rosters) due(now model.Instant, roster booking.Roster, members, wanted []booking.Member) bool {
+	if slices.Equal(roster.Members, wanted) && !r.keeper.unwell.Load() {
+		r.differsSince = 0
+		return false
+	}
+	if r.differsSince == 0 {
+		r.differsSince = now
+	}
+	wait := settleTime + time.Duration(r.turn(roster, members))*stagger
+	if r.keeper.leaving.Load() || roster.ID.Epoch == 0 {
+		wait = 0
+	}
+	return now.Sub(r.differsSince) >= wait
+}
+
+// turn is this agent's place in an order that all agents agree on.
+func (r *rosters) turn(roster booking.Roster, members []booking.Member) int {
+	self := r.order(roster, r.keeper.config.Self.Node)
+	turn := 0
+	for _, member := range members {
+		if r.order(roster, member.Node) < self {
+			turn++
+		}
+	}
+	return turn
+}
+
+func (r *rosters) order(roster booking.Roster, node model.NodeID) uint64 {
+	return xxhash.Sum64String(hex.EncodeToString(roster.ID.Random[:]) + string(node))
+}
+
+// askPeer asks another agent for a newer roster.
+func (r *rosters) askPeer(ctx context.Context, roster booking.Roster) bool {
+	var others []booking.Member
+	for _, member := range append(r.keeper.members(), roster.Members...) {
+		if member.Node != r.keeper.config.Self.Node {
+			others = append(others, member)
+		}
+	}
+	if len(others) == 0 {
+		return false
+	}
+	other := others[rand.IntN(len(others))]
+	response, err := r.keeper.call(ctx, booking.Call{To: other, Request: booking.Request{Op: booking.OpNotify, Known: roster}})
+	return err == nil && r.keeper.adopt(response.Newest)
+}
+
+// storedRoster is the form of a roster in the platform.
+type storedRoster struct {
+	Epoch   uint64           `json:"epoch"`
+	Random  string           `json:"random"`
+	Members []booking.Member `json:"members"`
+}
+
+func (r *rosters) key() string { return "booking/" + string(r.keeper.config.Service) }
+
+// read returns the roster in force with its version in the platform.
+func (r *rosters) read(ctx context.Context) (booking.Roster, platform.Version, error) {
+	entry, err := r.keeper.config.Store.Get(ctx, r.key())
+	if errors.Is(err, platform.ErrNotFound) {
+		return booking.Roster{}, 0, nil
+	}
+	if err != nil {
+		return booking.Roster{}, 0, Error.Wrap(err)
+	}
+	var stored storedRoster
+	if err := json.Unmarshal(entry.Value, &stored); err != nil {
+		return booking.Roster{}, 0, Error.New("key %s: %v", r.key(), err)
+	}
+	raw, err := hex.DecodeString(stored.Random)
+	if err != nil || len(raw) != len(booking.RosterID{}.Random) || stored.Epoch == 0 || len(stored.Members) == 0 {
+		return booking.Roster{}, 0, Error.New("key %s: random, epoch or members are malformed", r.key())
+	}
+	roster := booking.Roster{ID: booking.RosterID{Epoch: stored.Epoch}, Members: stored.Members}
+	copy(roster.ID.Random[:], raw)
+	return roster, entry.Version, nil
+}
+
+// replace reads the roster in force and, if it is the known one, replaces it.
+func (r *rosters) replace(ctx context.Context, wanted []booking.Member) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout+changeTimeout)
+	defer cancel()
+	old, version, err := r.read(ctx)
+	if err != nil {
+		r.platformFailed(err)
+		return
+	}
+	r.platformWorked()
+	if r.keeper.adopt(old) {
+		return
+	}
+	next, changed := r.change(ctx, old, wanted)
+	if !changed {
+		return
+	}
+	if err := r.write(ctx, next, version); err != nil {
+		// The next step reads what is in force.
+		r.platformFailed(err)
+		return
+	}
+	r.keeper.unwell.Store(false)
+	r.differsSince = 0
+	r.keeper.adopt(next)
+	r.notify(ctx, old, next)
+}
+
+func (r *rosters) write(ctx context.Context, next booking.Roster, version platform.Version) error {
+	value, err := json.Marshal(storedRoster{
+		Epoch: next.ID.Epoch, Random: hex.EncodeToString(next.ID.Random[:]), Members: next.Members,
+	})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, err = r.keeper.config.Store.Put(ctx, platform.Write{Key: r.key(), Value: value, Expect: version})
+	return Error.Wrap(err)
+}
+
+func (r *rosters) platformFailed(err error) {
+	r.nextPlatform = model.Now().Add(r.backoff)
+	r.backoff = min(2*r.backoff, platformBackoff)
+	r.keeper.config.Log.WithError(err).Warn("event=booking_roster_failed")
+}
+
+func (r *rosters) platformWorked() {
+	r.backoff = platformInterval
+	r.nextPlatform = model.Now().Add(platformInterval)
+}
+
+// change carries out the calls of a booking.Change.
+func (r *rosters) change(ctx context.Context, old booking.Roster, wanted []booking.Member) (booking.Roster, bool) {
+	change := booking.NewChange(old, random(), wanted, r.options(old))
+	type result struct {
+		call     booking.Call
+		response booking.Response
+		err      error
+	}
+	results := make(chan result)
+	open := 0
+	begin := func(calls []booking.Call) {
+		for _, call := range calls {
+			open++
+			go func() {
+				response, err := r.keeper.call(ctx, call)
+				results <- result{call, response, err}
+			}()
+		}
+	}
+	begin(change.Start())
+	for open > 0 {
+		got := <-results
+		open--
+		if got.err != nil {
+			begin(change.Fail(got.call))
+		} else {
+			begin(change.Answer(got.call, got.response))
+		}
+	}
+	r.noteBlocked(old, change)
+	r.keeper.adopt(change.Newest())
+	next, ready := change.Ready()
+	r.keeper.config.Log.WithFields(logrus.Fields{
+		"epoch": old.ID.Epoch + 1, "wanted": len(wanted), "homes": len(next.Members), "ready": ready, "blocked": change.Blocked(),
+	}).Info("event=booking_roster_change")
+	return next, ready
+}
+
+func (r *rosters) noteBlocked(old booking.Roster, change *booking.Change) {
+	if old.ID.Epoch > 0 && change.Blocked() && r.blockedID != old.ID {
+		r.blockedID = old.ID
+		r.blockedSince = model.Now()
+	}
+}
+
+func (r *rosters) options(old booking.Roster) booking.Options {
+	now := model.Now()
+	options := booking.Options{
+		Forced: old.ID.Epoch > 0 && r.blockedID == old.ID && now.Sub(r.blockedSince) >= booking.RecordLifetime,
+	}
+	for _, member := range old.Members {
+		seen := max(r.lastSeen[member.Node], r.started)
+		if now.Sub(seen) >= goneAfter {
+			options.Gone = append(options.Gone, member.Node)
+		}
+	}
+	return options
+}
+
+// notify tells the homes of both rosters which one is in force.
+func (r *rosters) notify(ctx context.Context, old, next booking.Roster) {
+	told := map[model.NodeID]bool{}
+	for _, member := range append(slices.Clone(next.Members), old.Members...) {
+		if told[member.Node] {
+			continue
+		}
+		told[member.Node] = true
+		r.keeper.running.Go(func() {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+			defer cancel()
+			// One that isn't reached learns of it at the next message.
+			_, _ = r.keeper.call(ctx, booking.Call{To: member, Request: booking.Request{Op: booking.OpNotify, Known: next}})
+		})
+	}
+}
