Fit allowances, claims, hand-over and the keeper into the processes

Change: agents hand requests to each other over mutual TLS, acquire allowances and claim keys when there is a platform; balancers keep shards; nodes answer what balsamctl status asks; records carry the relay address.

--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -16,6 +16,7 @@
 	"github.com/balsamlink/balsamlink/internal/node"
 	"github.com/balsamlink/balsamlink/internal/observe"
 	"github.com/balsamlink/balsamlink/internal/plan"
+	"github.com/balsamlink/balsamlink/internal/platform"
 	"github.com/balsamlink/balsamlink/internal/request"
 	"github.com/balsamlink/balsamlink/internal/settings"
 	"github.com/balsamlink/balsamlink/internal/steering"
@@ -36,14 +37,17 @@
 	control     *node.Control
 	target      target.Target
 	checker     credential.Checker
-	health      *observe.Health
-	counters    *observe.Counters
-	log         *logrus.Entry
+	// store may be nil.
+	store    platform.Store
+	health   *observe.Health
+	counters *observe.Counters
+	log      *logrus.Entry
 
-	handler *request.Handler
-	front   *Front
-	stop    context.CancelFunc
-	running sync.WaitGroup
+	services *services
+	handler  *request.Handler
+	front    *Front
+	stop     context.CancelFunc
+	running  sync.WaitGroup
 }
 
 // Run runs an agent until it is told to end.
@@ -73,9 +77,10 @@
 	if err != nil {
 		return nil, kernel.Options{}, err
 	}
+	common := node.NewCommon(settings.Node, log)
 	control, err := node.NewControl(node.ControlConfig{
-		Settings: settings.Node, Ring: fitted.ring, Role: model.RoleAgent,
-		Service: settings.Service, Platform: store, Log: log,
+		Settings: settings.Node, Ring: fitted.ring, Role: model.RoleAgent, Service: settings.Service,
+		Relay: settings.Relay, Platform: store, Counters: common.Counters, Log: log,
 	})
 	if err != nil {
 		return nil, kernel.Options{}, err
@@ -83,9 +88,9 @@
 	if bindable, ok := fitted.checker.(credential.Bindable); ok {
 		bindable.Bind(control.Library)
 	}
-	common := node.NewCommon(settings.Node, log)
 	own := &module{
-		settings: settings, ring: fitted.ring, certificate: fitted.certificate, control: control, target: fitted.target, checker: fitted.checker,
+		settings: settings, ring: fitted.ring, certificate: fitted.certificate, control: control,
+		target: fitted.target, checker: fitted.checker, store: store,
 		health: common.Health, counters: common.Counters, log: log,
 	}
 	parts := common.Parts(platformPart, control)
@@ -133,14 +138,10 @@
 	return f, nil
 }
 
-// Validate implements kernel.Module.
+// Validate implements kernel.Module: it makes everything that needs no socket.
 func (m *module) Validate() error {
-	m.handler = request.New(request.Config{
-		Service:    m.settings.Service,
-		Target:     m.target,
-		Credential: m.checker,
-		Log:        m.log,
-	})
+	m.services = newServices(m)
+	m.handler = request.New(m.services.requestConfig(m))
 	return nil
 }
 
@@ -159,6 +160,9 @@
 		return err
 	}
 	m.addCounters()
+	if err := m.services.start(m.handler); err != nil {
+		return err
+	}
 	m.running.Go(m.serve)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
@@ -216,8 +220,10 @@
 	m.stop()
 	m.front.SetOpen(false)
 	m.control.Cluster.SetState(membership.StateDraining)
+	claims := m.services.leave(ctx)
 	flows := m.front.Drain(ctx)
-	return errs.Combine(flows, Error.Wrap(m.handler.Drain(ctx)))
+	requests := Error.Wrap(m.handler.Drain(ctx))
+	return errs.Combine(claims, flows, requests, m.services.settle(ctx))
 }
 
 // Stop implements kernel.Module.
@@ -231,6 +237,7 @@
 	}
 	if m.handler != nil {
 		m.handler.Close()
+		m.services.stop()
 	}
 	m.running.Wait()
 	return err
--- a/internal/balancer/module.go
+++ b/internal/balancer/module.go
@@ -78,18 +78,22 @@
 	if err != nil {
 		return nil, kernel.Options{}, err
 	}
+	common := node.NewCommon(settings.Node, log)
 	control, err := node.NewControl(node.ControlConfig{
-		Settings: settings.Node, Ring: ring, Role: model.RoleBalancer, Platform: store, Log: log,
+		Settings: settings.Node, Ring: ring, Role: model.RoleBalancer, Platform: store,
+		Counters: common.Counters, Log: log,
 	})
 	if err != nil {
 		return nil, kernel.Options{}, err
 	}
-	common := node.NewCommon(settings.Node, log)
 	own := &module{
 		settings: settings, ring: ring, control: control, fabric: edge,
 		health: common.Health, counters: common.Counters, log: log,
 	}
 	parts := common.Parts(platformPart, control)
+	if store != nil {
+		parts = append(parts, kernel.Part{Name: "keeper", Module: newKeeperModule(settings, control, store, log)})
+	}
 	parts = append(parts, fabricPart, kernel.Part{Name: "balancer", Module: own})
 	return parts, common.Options(), nil
 }
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -71,6 +71,9 @@
 	Control netip.AddrPort
 	// Slots is the number of requests that the agent's target can run at once.
 	Slots uint16
+	// Relay is the TCP address at which an agent takes requests from other
+	// agents of its service; invalid when it takes none.
+	Relay netip.AddrPort
 }
 
 // Newer reports whether r replaces other. Of two records with the same
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 
 	"github.com/sirupsen/logrus"
 
@@ -10,6 +11,7 @@
 	"github.com/balsamlink/balsamlink/internal/keys"
 	"github.com/balsamlink/balsamlink/internal/membership"
 	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/observe"
 	"github.com/balsamlink/balsamlink/internal/platform"
 	"github.com/balsamlink/balsamlink/internal/rpc"
 	"github.com/balsamlink/balsamlink/internal/settings"
@@ -24,6 +26,7 @@
 	Library *Library
 
 	settings settings.Node
+	counters *observe.Counters
 	serving  bool
 	started  bool
 }
@@ -36,8 +39,10 @@
 	Role    model.Role
 	Service model.Service
 	Slots   uint16
+	Relay   netip.AddrPort
 	// Platform may be nil.
 	Platform platform.Store
+	Counters *observe.Counters
 	Log      *logrus.Entry
 }
 
@@ -53,6 +58,7 @@
 		Server:   rpc.NewServer(config.Ring.ServerTLS(), config.Log),
 		Library:  library,
 		settings: config.Settings,
+		counters: config.Counters,
 	}
 	c.Cluster, err = cluster.New(cluster.Config{
 		Self: membership.Record{
@@ -64,6 +70,7 @@
 			Data:    config.Settings.Data,
 			Control: config.Settings.Control,
 			Slots:   config.Slots,
+			Relay:   config.Relay,
 		},
 		Client:   c.Client,
 		Server:   c.Server,
@@ -76,6 +83,7 @@
 		return nil, Error.Wrap(err)
 	}
 	c.Cluster.OnDocument(library.Take)
+	c.Server.Handle(rpc.MethodStatus, rpc.Typed(c.report))
 	return c, nil
 }
 
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/balsamlink/balsamlink/internal/membership"
+	"github.com/balsamlink/balsamlink/internal/rpc"
+	"github.com/balsamlink/balsamlink/internal/status"
+)
+
+// report answers what balsamctl status asks.
+func (c *Control) report(_ context.Context, _ rpc.Peer, request status.Request) (status.Report, error) {
+	view := c.Cluster.View()
+	self, _ := view.Find(c.settings.Name)
+	report := status.Report{
+		Node:      c.settings.Name,
+		Role:      self.Role,
+		Zone:      c.settings.Zone,
+		Service:   self.Service,
+		State:     self.State,
+		Revisions: c.Library.Book().Revisions(),
+		ViewSize:  uint32(len(view.Records)),
+	}
+	values := c.counters.Values()
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		report.Counters = append(report.Counters, status.Counter{Name: name, Value: values[name]})
+	}
+	if request.Members {
+		report.Members = status.MembersOf(*view)
+	}
+	return report, nil
+}
+
+// Balancers returns the balancers that this node knows.
+func (c *Control) Balancers() []membership.Record { return c.Cluster.View().Balancers() }
