Note refusals of agents that the view no longer knows; test with processes

Cause: the flows of a killed agent never failed: after 3 s the view drops the dead node, and the evidence that its VM refuses datagrams was looked up only for nodes in the view (TestFlowsOfAKilledAgentFailFast, 180 s without a reset). Change: refusing addresses are an input of the steering table of their own; the steering fuzz has them too. Loads may open new flows. Ruled out: expiring the flow by the view's silence; a paused agent looks alike.

--- a/internal/balancer/director.go
+++ b/internal/balancer/director.go
@@ -62,6 +62,7 @@
 	input := steering.Input{
 		Services: d.services,
 		Sealer:   d.sealer,
+		Refusing: d.refusals.addresses(),
 		ZonesOut: d.book.ZonesOut(),
 		Revision: d.book.Revisions()[model.DocumentOut],
 	}
@@ -79,7 +80,7 @@
 		Service: record.Service,
 		Zone:    record.Zone,
 		Agent:   record.Data,
-		Running: !record.State.Gone() && !d.refusals.refuses(record.Data),
+		Running: !record.State.Gone(),
 		Out:     d.book.TargetOut(record.Node),
 	}
 	if record.State == membership.StateActive {
--- a/internal/balancer/refusals.go
+++ b/internal/balancer/refusals.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -92,12 +94,11 @@
 	return changed
 }
 
-// refuses reports whether the address has refused a datagram lately.
-func (r *refusals) refuses(addr netip.AddrPort) bool {
+// addresses returns the addresses that have refused a datagram lately.
+func (r *refusals) addresses() []netip.AddrPort {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, known := r.since[addr]
-	return known
+	return slices.Collect(maps.Keys(r.since))
 }
 
 // readRefusal reads one entry of the error queue. The address is invalid for an
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -127,18 +127,19 @@
 // mixedLoad returns a load on all services of a deployment.
 func (e Env) mixedLoad(layout deployment.Layout) (load.Config, error) {
 	config := load.Config{
-		Tokens:         layout.Tokens,
-		Feeds:          12,
-		Files:          6,
-		Bookings:       6,
-		Duration:       maxLoadTime,
-		MaxRequests:    100_000,
-		Pause:          100 * time.Millisecond,
-		RequestTimeout: 30 * time.Second,
-		FileSize:       128 << 10,
-		FeedBlocks:     60,
-		FeedInterval:   50 * time.Millisecond,
-		Seed:           e.Seed,
+		Tokens:          layout.Tokens,
+		Feeds:           12,
+		Files:           6,
+		Bookings:        6,
+		Duration:        maxLoadTime,
+		MaxRequests:     100_000,
+		RequestsPerFlow: requestsPerFlow,
+		Pause:           100 * time.Millisecond,
+		RequestTimeout:  30 * time.Second,
+		FileSize:        128 << 10,
+		FeedBlocks:      60,
+		FeedInterval:    50 * time.Millisecond,
+		Seed:            e.Seed,
 	}
 	for _, service := range layout.Services {
 		config.Services = append(config.Services, load.Service{Name: service.Name, Address: service.Address})
@@ -176,6 +177,9 @@
 	return ended.recorder, ended.recorder.Summarize(ledger), nil
 }
 
+// requestsPerFlow is the number of requests of a caller on one flow.
+const requestsPerFlow = 8
+
 // maxLoadTime bounds the load beside steps that do not end.
 const maxLoadTime = 10 * time.Minute
 
--- /dev/null
+++ b/internal/failure/failure_test.go
@@ -0,0 +1,277 @@
+// Package failure holds focused failure tests with real processes. Each runs one
+// of the named experiments, or steps of its own, on a small deployment.
+package failure
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamlink/balsamlink/internal/experiment"
+	"github.com/balsamlink/balsamlink/internal/load"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/standin/deployment"
+	"github.com/balsamlink/balsamlink/internal/standin/fleet"
+)
+
+// testTimeout bounds one test.
+const testTimeout = 45 * time.Second
+
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(runAll(m))
+}
+
+func runAll(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "balsamlink-programs-")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(folder)
+	build := exec.Command("go", "build", "-o", folder+"/", "../../cmd/...")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	programs = folder
+	return m.Run()
+}
+
+func start(t *testing.T) (context.Context, *fleet.Fleet) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	shape := deployment.Shape{
+		Name: "small", Zones: []model.Zone{"a", "b", "c"}, Balancers: 3,
+		Services: []deployment.ServiceShape{{Name: "booking-feed", Servers: 3, Slots: 8}, {Name: "map-store", Servers: 2, Slots: 8}},
+	}
+	running, err := fleet.Start(ctx, shape, programs, t.TempDir())
+	require.NoError(t, err)
+	t.Cleanup(running.Kill)
+	return ctx, running
+}
+
+// requireMet runs an experiment at a small scale and checks its targets.
+func requireMet(t *testing.T, name string, scale float64) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	result, err := experiment.Run(ctx, name, experiment.Env{Programs: programs, Folder: t.TempDir(), Seed: 1, Scale: scale})
+	require.NoError(t, err)
+	for _, figure := range result.Figures {
+		require.True(t, figure.Met, "%s: %v, target %s\n%s", figure.Name, figure.Value, figure.Target, result)
+	}
+}
+
+func TestNoFlowBreaksWhileBalancersAndAgentsChange(t *testing.T) {
+	requireMet(t, "broken-flows", 0.2)
+}
+
+// callers opens flows to a service and keeps sending on them.
+func callers(t *testing.T, running *fleet.Fleet, kind load.Kind, count int) load.Config {
+	layout := running.Layout
+	authorities, err := load.Authorities(layout.Authority)
+	require.NoError(t, err)
+	config := load.Config{
+		Authorities: authorities, Tokens: layout.Tokens, Duration: testTimeout, MaxRequests: 1000,
+		RequestsPerFlow: 4,
+		Pause:           20 * time.Millisecond, RequestTimeout: 20 * time.Second, FileSize: 32 << 10,
+		FeedBlocks: 40, FeedInterval: 50 * time.Millisecond, Seed: 1,
+	}
+	for _, service := range layout.Services {
+		config.Services = append(config.Services, load.Service{Name: service.Name, Address: service.Address})
+	}
+	switch kind {
+	case load.KindFeed:
+		config.Feeds = count
+	case load.KindFile:
+		config.Files = count
+	case load.KindBooking:
+		config.Bookings = count
+	}
+	return config
+}
+
+// sendDuring sends a load for as long as the steps take.
+func sendDuring(ctx context.Context, t *testing.T, config load.Config, steps func()) *load.Recorder {
+	stop := make(chan struct{})
+	config.Stop = stop
+	done := make(chan *load.Recorder, 1)
+	go func() {
+		recorder, err := load.Run(ctx, config, nil)
+		if err != nil {
+			t.Error(err)
+		}
+		done <- recorder
+	}()
+	steps()
+	close(stop)
+	return <-done
+}
+
+func count(recorder *load.Recorder, result load.Result) int {
+	n := 0
+	for _, request := range recorder.Requests() {
+		if request.Result == result {
+			n++
+		}
+	}
+	return n
+}
+
+// eventually polls until a condition holds; the test fails at its deadline.
+func eventually(ctx context.Context, t *testing.T, what string, holds func() bool) {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			require.Fail(t, "never came true: "+what)
+		case <-ticker.C:
+		}
+	}
+}
+
+// failFast is the time within which the flows of a dead process must fail.
+const failFast = 3 * time.Second
+
+// A killed agent leaves a live VM behind, whose kernel refuses datagrams: its
+// flows must fail fast, by a stateless reset from another agent.
+func TestFlowsOfAKilledAgentFailFast(t *testing.T) {
+	ctx, running := start(t)
+	config := callers(t, running, load.KindFeed, 6)
+	config.MaxRequests = 1
+	config.FeedBlocks = 400
+	var killed time.Time
+	begin := time.Now()
+	recorder := sendDuring(ctx, t, config, func() {
+		victim := busiest(ctx, t, running)
+		killed = time.Now()
+		require.NoError(t, running.Signal(victim, syscall.SIGKILL))
+		eventually(ctx, t, "a flow was reset", func() bool {
+			for _, name := range running.Names("lb-") {
+				metrics, err := running.Metrics(name)
+				if err == nil && metrics["datagrams_gone"] > 0 {
+					return true
+				}
+			}
+			return false
+		})
+	})
+	broken := 0
+	for _, request := range recorder.Requests() {
+		if request.Result != load.ResultBroken {
+			continue
+		}
+		broken++
+		require.Contains(t, request.Error, "stateless reset")
+		require.LessOrEqual(t, request.Start+request.Latency, killed.Sub(begin)+failFast)
+	}
+	require.Positive(t, broken)
+}
+
+// A paused agent is slow, not dead: its flows must go on when it does.
+func TestFlowsOfAPausedAgentSurvive(t *testing.T) {
+	ctx, running := start(t)
+	recorder := sendDuring(ctx, t, callers(t, running, load.KindFeed, 3), func() {
+		for _, name := range running.Names("booking-feed-") {
+			require.NoError(t, running.Signal(name, syscall.SIGSTOP))
+			paused, cancel := context.WithTimeout(ctx, time.Second)
+			<-paused.Done()
+			cancel()
+			require.NoError(t, running.Signal(name, syscall.SIGCONT))
+		}
+	})
+	require.Zero(t, count(recorder, load.ResultBroken), "%+v", recorder.Requests())
+	require.Positive(t, count(recorder, load.ResultAnswered))
+}
+
+// A target VM that is replaced by one of another service at the same address
+// must get no request of the old service.
+func TestAnAddressReusedByAnotherServiceGetsNothingOfTheOldOne(t *testing.T) {
+	ctx, running := start(t)
+	reused := running.Names("booking-feed-")[0]
+	recorder := sendDuring(ctx, t, callers(t, running, load.KindFile, 4), func() {
+		require.NoError(t, running.Signal(reused, syscall.SIGKILL))
+		_, err := running.Await(ctx, reused)
+		require.NoError(t, err)
+		require.NoError(t, running.ChangeService(reused, "map-store"))
+		require.NoError(t, running.StartProcess(reused))
+		eventually(ctx, t, "the reused address serves its new service", func() bool {
+			metrics, err := running.Metrics(reused)
+			return err == nil && metrics["datagrams_in_first"] > 0
+		})
+	})
+	require.Zero(t, count(recorder, load.ResultWrong))
+	bookings := callers(t, running, load.KindBooking, 4)
+	bookings.MaxRequests = 20
+	booked, err := load.Run(ctx, bookings, nil)
+	require.NoError(t, err)
+	require.Zero(t, count(booked, load.ResultWrong))
+	require.Zero(t, bookingsAt(ctx, t, running, 0), "the target of the reused address got bookings")
+}
+
+// bookingsAt returns the bookings that a target of the first service ran.
+func bookingsAt(ctx context.Context, t *testing.T, running *fleet.Fleet, number int) int {
+	targets := running.Layout.Services[0].Targets[number : number+1]
+	ledger, err := load.FetchLedger(ctx, targets)
+	require.NoError(t, err)
+	return len(ledger.Keys)
+}
+
+// SIGTERM to an agent drains it: no new work after 3 s, open flows end whole,
+// and it ends with exit code 0.
+func TestAStoppedAgentEndsItsFlowsWhole(t *testing.T) {
+	ctx, running := start(t)
+	leaving := running.Names("booking-feed-")[0]
+	recorder := sendDuring(ctx, t, callers(t, running, load.KindFeed, 6), func() {
+		require.NoError(t, running.Signal(leaving, syscall.SIGTERM))
+		code, err := running.Await(ctx, leaving)
+		require.NoError(t, err)
+		require.Zero(t, code)
+	})
+	require.Zero(t, count(recorder, load.ResultBroken), "%+v", recorder.Requests())
+	require.Zero(t, count(recorder, load.ResultWrong))
+	require.NoError(t, running.Stop())
+}
+
+func TestSecondSignalStopsAtOnce(t *testing.T) {
+	ctx, running := start(t)
+	config := callers(t, running, load.KindFeed, 6)
+	config.MaxRequests = 1
+	config.FeedBlocks = 200
+	sendDuring(ctx, t, config, func() {
+		name := busiest(ctx, t, running)
+		require.NoError(t, running.Signal(name, syscall.SIGTERM))
+		eventually(ctx, t, "the agent drains", func() bool {
+			log, err := os.ReadFile(filepath.Join(running.Layout.Folder, name+".log"))
+			return err == nil && bytes.Contains(log, []byte("event=process_draining"))
+		})
+		require.NoError(t, running.Signal(name, syscall.SIGTERM))
+		code, err := running.Await(ctx, name)
+		require.NoError(t, err)
+		require.Equal(t, 3, code)
+	})
+}
+
+// busiest returns an agent of the first service that has open flows.
+func busiest(ctx context.Context, t *testing.T, running *fleet.Fleet) string {
+	found := ""
+	eventually(ctx, t, "an agent has flows", func() bool {
+		for _, name := range running.Names("booking-feed-") {
+			metrics, err := running.Metrics(name)
+			if err == nil && metrics["flows_open"] > 0 {
+				found = name
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -54,6 +54,9 @@
 	Stop <-chan struct{}
 	// MaxRequests bounds the requests of one caller.
 	MaxRequests int
+	// RequestsPerFlow is the number of requests after which a caller opens a new
+	// flow; 0 means never.
+	RequestsPerFlow int
 	// Pause is the time between two requests of a caller.
 	Pause time.Duration
 	// RequestTimeout bounds one request.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -111,23 +111,34 @@
 	defer socket.Close()
 	endpoint := &quic.Transport{Conn: socket}
 	defer endpoint.Close()
+	for sequence := 0; sequence < c.config.MaxRequests && !c.over(ctx); {
+		sequence = c.runFlow(ctx, endpoint, sequence)
+	}
+}
+
+// runFlow sends requests on one flow and returns the number of the next request.
+func (c *caller) runFlow(ctx context.Context, endpoint *quic.Transport, sequence int) int {
 	transport := c.transport(endpoint)
 	defer transport.Close()
 	client := &http.Client{Transport: transport}
-	for sequence := range c.config.MaxRequests {
-		if ctx.Err() != nil || c.over() {
-			return
-		}
+	last := c.config.MaxRequests
+	if c.config.RequestsPerFlow > 0 {
+		last = min(last, sequence+c.config.RequestsPerFlow)
+	}
+	for ; sequence < last && !c.over(ctx); sequence++ {
 		c.sendOne(ctx, client, sequence)
 		c.pause(ctx)
 	}
+	return sequence
 }
 
 // over reports whether no more requests are to be started.
-func (c *caller) over() bool {
+func (c *caller) over(ctx context.Context) bool {
 	select {
 	case <-c.config.Stop:
 		return true
+	case <-ctx.Done():
+		return true
 	default:
 		return time.Since(c.start) >= c.config.Duration
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -20,6 +20,9 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/balsamlink/balsamlink/internal/devcerts"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/settings"
 	"github.com/balsamlink/balsamlink/internal/standin/deployment"
 )
 
@@ -145,6 +148,27 @@
 	return f.processes[name]
 }
 
+// ChangeService makes the agent of a process that is not running one of another
+// service at the same address.
+func (f *Fleet) ChangeService(name string, service model.Service) error {
+	path := filepath.Join(f.Layout.Folder, name+".json")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	var agent settings.Agent
+	if err := json.Unmarshal(text, &agent); err != nil {
+		return Error.Wrap(err)
+	}
+	agent.Service = service
+	agent.Certificate, agent.Key = devcerts.ServiceFiles(f.Layout.Folder, string(service))
+	text, err = json.Marshal(agent)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(os.WriteFile(path, text, 0o600))
+}
+
 // Signal sends a signal to a process that this Fleet started.
 func (f *Fleet) Signal(name string, signal syscall.Signal) error {
 	p := f.process(name)
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -50,6 +50,7 @@
 	return Input{
 		Services: services,
 		Targets:  drawTargets(t, 12),
+		Refusing: []netip.AddrPort{agentAddr(rapid.IntRange(0, 15).Draw(t, "refusing"))},
 		ZonesOut: rapid.SliceOfNDistinct(rapid.SampledFrom(zones), 0, 2, rapid.ID).Draw(t, "zones out"),
 		Sealer:   sealer(t),
 	}
@@ -87,7 +88,7 @@
 		id := issue(t, owner, rapid.Uint32().Draw(t, "counter"))
 		decision := table.Steer(owner.Service.Tag(), shortPacket(id), &Scratch{})
 
-		gone := slices.Contains(input.ZonesOut, owner.Zone)
+		gone := slices.Contains(input.ZonesOut, owner.Zone) || slices.Contains(input.Refusing, owner.Agent)
 		for _, target := range input.Targets {
 			if target.Agent == owner.Agent && (!target.Running || target.Service != owner.Service) {
 				gone = true
@@ -114,6 +115,7 @@
 		}
 		require.Equal(t, service, target.Service)
 		require.True(t, target.Running && !target.Out && target.Weight > 0)
+		require.NotContains(t, input.Refusing, agent)
 		require.NotContains(t, input.ZonesOut, target.Zone)
 		return
 	}
@@ -135,7 +137,7 @@
 		open := 0
 		for _, target := range input.Targets {
 			if target.Service == service && target.Running && !target.Out && target.Weight > 0 &&
-				!slices.Contains(input.ZonesOut, target.Zone) {
+				!slices.Contains(input.ZonesOut, target.Zone) && !slices.Contains(input.Refusing, target.Agent) {
 				open++
 			}
 		}
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -26,6 +26,9 @@
 type Input struct {
 	Services []model.Service
 	Targets  []Target
+	// Refusing are the agents' addresses whose VMs refuse datagrams, whether the
+	// view knows them or not.
+	Refusing []netip.AddrPort
 	// ZonesOut are the zones that operators have taken out of service.
 	ZonesOut []model.Zone
 	// Revision is the revision of the document that ZonesOut is from.
@@ -38,6 +41,7 @@
 type Table struct {
 	services map[model.ServiceTag]*lookup
 	agents   map[netip.AddrPort]agentEntry
+	refusing map[netip.AddrPort]struct{}
 	zonesOut map[model.ZoneTag]struct{}
 	revision model.Revision
 	sealer   *Sealer
@@ -54,10 +58,14 @@
 	t := &Table{
 		services: map[model.ServiceTag]*lookup{},
 		agents:   make(map[netip.AddrPort]agentEntry, len(input.Targets)),
+		refusing: map[netip.AddrPort]struct{}{},
 		zonesOut: map[model.ZoneTag]struct{}{},
 		revision: input.Revision,
 		sealer:   input.Sealer,
 	}
+	for _, address := range input.Refusing {
+		t.refusing[address] = struct{}{}
+	}
 	for _, zone := range input.ZonesOut {
 		t.zonesOut[zone.Tag()] = struct{}{}
 	}
@@ -83,7 +91,8 @@
 
 func (t *Table) takesFirst(target Target) bool {
 	_, out := t.zonesOut[target.Zone.Tag()]
-	return target.Running && !target.Out && !out && target.Weight > 0
+	_, refusing := t.refusing[target.Agent]
+	return target.Running && !refusing && !target.Out && !out && target.Weight > 0
 }
 
 // Revision returns the revision of the document of what is out.
@@ -168,6 +177,9 @@
 	if _, out := t.zonesOut[place.Zone]; out {
 		return true
 	}
+	if _, refusing := t.refusing[place.Agent]; refusing {
+		return true
+	}
 	entry, known := t.agents[place.Agent]
 	return known && (!entry.running || entry.service != place.Service)
 }
