--- /dev/null
+++ b/internal/platform/httpkv/httpkv_test.go
@@ -0,0 +1,296 @@
+package httpkv_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/platform"
+	"github.com/balsamlink/balsamlink/internal/platform/httpkv"
+	standin "github.com/balsamlink/balsamlink/internal/standin/platform"
+)
+
+// cleaner is what a bench needs of a test or of one run of a property.
+type cleaner interface {
+	Cleanup(func())
+}
+
+type bench struct {
+	service *standin.Service
+	address netip.AddrPort
+	store   platform.Store
+}
+
+func newBench(t cleaner) *bench {
+	service := standin.New()
+	server := httptest.NewServer(service)
+	t.Cleanup(server.Close)
+	address := server.Listener.Addr().(*net.TCPAddr).AddrPort()
+	return &bench{service: service, address: address, store: open(address)}
+}
+
+func open(addresses ...netip.AddrPort) platform.Store {
+	return httpkv.New(httpkv.Settings{Addresses: addresses, Caller: "lb-1", CallsPerSecond: 1e4, CallBurst: 1e4,
+		TimeoutMillis: 2000, WatchMillis: 2000})
+}
+
+func (b *bench) put(t testing.TB, key, value string, expect platform.Version) platform.Version {
+	version, err := b.store.Put(context.Background(), platform.Write{Key: key, Value: []byte(value), Expect: expect})
+	require.NoError(t, err)
+	return version
+}
+
+// The plug-in on the stand-in behaves like a map with versions. A write whose
+// answer is lost is told as such, has its effect once and is sent once.
+func TestStoreAgainstOracle(t *testing.T) {
+	ctx := context.Background()
+	const prefix = "list/"
+	rapid.Check(t, func(t *rapid.T) {
+		// Each run has a service of its own, whose stated rates it can't exceed.
+		b := newBench(t)
+		oracle := map[string]platform.Entry{}
+		drawKey := func() string { return prefix + rapid.SampledFrom([]string{"a", "a/b", "ü ?&"}).Draw(t, "key") }
+		drawExpect := func(key string) platform.Version {
+			if rapid.Bool().Draw(t, "stale") {
+				return 1 << 40
+			}
+			return oracle[key].Version
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				key := drawKey()
+				expect := drawExpect(key)
+				value := rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(t, "value")
+				lose := rapid.IntRange(0, 4).Draw(t, "lose") == 0
+				before := b.service.Calls().ByKind["put"]
+				if lose {
+					b.service.Inject(standin.Faults{LoseAnswers: 1})
+				}
+				version, err := b.store.Put(ctx, platform.Write{Key: key, Value: value, Expect: expect})
+				require.Equal(t, before+1, b.service.Calls().ByKind["put"], "a write is sent once")
+				if lose {
+					require.ErrorIs(t, err, platform.ErrUnknownOutcome)
+					entry, _ := b.store.Get(ctx, key)
+					version = entry.Version
+				} else if expect != oracle[key].Version {
+					require.ErrorIs(t, err, platform.ErrConflict)
+				} else {
+					require.NoError(t, err)
+				}
+				if expect == oracle[key].Version {
+					require.Greater(t, version, oracle[key].Version)
+					oracle[key] = platform.Entry{Key: key, Value: value, Version: version}
+				}
+			},
+			"delete": func(t *rapid.T) {
+				key := drawKey()
+				expect := drawExpect(key)
+				err := b.store.Delete(ctx, key, expect)
+				_, known := oracle[key]
+				switch {
+				case !known:
+					require.ErrorIs(t, err, platform.ErrNotFound)
+				case expect != oracle[key].Version:
+					require.ErrorIs(t, err, platform.ErrConflict)
+				default:
+					require.NoError(t, err)
+					delete(oracle, key)
+				}
+			},
+			"": func(t *rapid.T) {
+				key := drawKey()
+				entry, err := b.store.Get(ctx, key)
+				if _, known := oracle[key]; !known {
+					require.ErrorIs(t, err, platform.ErrNotFound)
+				} else {
+					require.NoError(t, err)
+					requireEntry(t, oracle[key], entry)
+				}
+				entries, err := b.store.List(ctx, prefix)
+				require.NoError(t, err)
+				require.Len(t, entries, len(oracle))
+				for _, entry := range entries {
+					requireEntry(t, oracle[entry.Key], entry)
+				}
+			},
+		})
+	})
+}
+
+func requireEntry(t require.TestingT, want, got platform.Entry) {
+	require.Equal(t, want.Version, got.Version)
+	require.Equal(t, string(want.Value), string(got.Value))
+}
+
+func TestWatchTellsWritesDeletionsAndLapsedLeases(t *testing.T) {
+	ctx := context.Background()
+	b := newBench(t)
+	b.put(t, "other/x", "0", 0)
+	version := b.put(t, "seeds/a", "1", 0)
+	next := func(write func()) platform.Change {
+		done := make(chan platform.Change, 1)
+		failed := make(chan error, 1)
+		go func() {
+			change, err := b.store.Watch(ctx, "seeds/", version)
+			failed <- err
+			done <- change
+		}()
+		write()
+		require.NoError(t, <-failed)
+		change := <-done
+		version = change.Version
+		return change
+	}
+	change := next(func() {
+		b.put(t, "other/y", "0", 0)
+		b.put(t, "seeds/b", "2", 0)
+	})
+	require.True(t, change.Changed)
+	require.Len(t, change.Entries, 2)
+	change = next(func() { require.NoError(t, b.store.Delete(ctx, "seeds/a", change.Entries[0].Version)) })
+	require.Len(t, change.Entries, 1)
+
+	lease, err := b.store.Grant(ctx, time.Hour)
+	require.NoError(t, err)
+	change = next(func() {
+		_, err := b.store.Put(ctx, platform.Write{Key: "seeds/c", Lease: lease})
+		require.NoError(t, err)
+	})
+	require.Len(t, change.Entries, 2)
+	require.NoError(t, b.store.KeepAlive(ctx, lease))
+	change = next(func() { b.service.Inject(standin.Faults{LapseLeases: true}) })
+	require.Len(t, change.Entries, 1)
+	require.ErrorIs(t, b.store.KeepAlive(ctx, lease), platform.ErrLeaseExpired)
+	_, err = b.store.Put(ctx, platform.Write{Key: "seeds/c", Lease: lease})
+	require.ErrorIs(t, err, platform.ErrLeaseExpired)
+
+	short := httpkv.New(httpkv.Settings{Addresses: []netip.AddrPort{b.address}, WatchMillis: 20})
+	quiet, err := short.Watch(ctx, "seeds/", version)
+	require.NoError(t, err)
+	require.Equal(t, platform.Change{Version: version}, quiet)
+
+	lease, err = b.store.Grant(ctx, 100*time.Millisecond)
+	require.NoError(t, err)
+	change = next(func() {
+		_, err := b.store.Put(ctx, platform.Write{Key: "seeds/d", Lease: lease})
+		require.NoError(t, err)
+	})
+	require.Len(t, change.Entries, 2)
+	change = next(func() {})
+	require.Len(t, change.Entries, 1, "the lease ran out")
+}
+
+func TestOutages(t *testing.T) {
+	ctx := context.Background()
+	b := newBench(t)
+	version := b.put(t, "k", "1", 0)
+
+	b.service.Inject(standin.Faults{Outage: standin.OutageRefuse})
+	before := b.service.Calls()
+	_, err := b.store.Get(ctx, "k")
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = b.store.Put(ctx, platform.Write{Key: "k", Expect: version})
+	require.ErrorIs(t, err, platform.ErrUnavailable, "a refused write had no effect")
+	after := b.service.Calls()
+	require.Equal(t, uint64(4), after.ByKind["get"]-before.ByKind["get"], "attempts of a read")
+
+	hurried := httpkv.New(httpkv.Settings{Addresses: []netip.AddrPort{b.address}, TimeoutMillis: 50})
+	b.service.Inject(standin.Faults{Outage: standin.OutageHang})
+	_, err = hurried.Get(ctx, "k")
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	before = b.service.Calls()
+	_, err = hurried.Put(ctx, platform.Write{Key: "k", Expect: version})
+	require.ErrorIs(t, err, platform.ErrUnknownOutcome)
+	require.Equal(t, uint64(1), b.service.Calls().ByKind["put"]-before.ByKind["put"])
+
+	b.service.Inject(standin.Faults{})
+	entry, err := b.store.Get(ctx, "k")
+	require.NoError(t, err)
+	require.Equal(t, version, entry.Version)
+	require.NotZero(t, b.service.Calls().ByCaller["lb-1"])
+}
+
+func TestAnotherAddressIsTried(t *testing.T) {
+	b := newBench(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone := closed.Addr().(*net.TCPAddr).AddrPort()
+	require.NoError(t, closed.Close())
+	store := open(gone, b.address)
+	_, err = store.Put(context.Background(), platform.Write{Key: "k", Value: []byte("1")})
+	require.NoError(t, err, "a write that was never sent may go to another address")
+	require.Equal(t, uint64(1), b.service.Calls().ByKind["put"])
+}
+
+func TestLimits(t *testing.T) {
+	ctx := context.Background()
+	b := newBench(t)
+	b.put(t, "big", strings.Repeat("x", platform.MaxValueSize), 0)
+	_, err := b.store.Put(ctx, platform.Write{Key: "bigger", Value: make([]byte, platform.MaxValueSize+1)})
+	require.ErrorIs(t, err, platform.ErrTooLarge)
+
+	frugal := httpkv.New(httpkv.Settings{Addresses: []netip.AddrPort{b.address}, CallsPerSecond: 0.001, CallBurst: 2})
+	for range 2 {
+		_, err = frugal.Get(ctx, "none")
+		require.ErrorIs(t, err, platform.ErrNotFound)
+	}
+	_, err = frugal.Get(ctx, "none")
+	require.ErrorIs(t, err, platform.ErrOverBudget)
+
+	for range 2 * standin.WritesPerSecond {
+		if _, err = b.store.Put(ctx, platform.Write{Key: "k", Expect: 1 << 40}); b.service.Calls().OverRate > 0 {
+			break
+		}
+		require.ErrorIs(t, err, platform.ErrConflict)
+	}
+	require.NotZero(t, b.service.Calls().OverRate, "the service holds its stated rate")
+}
+
+func TestMalformedCallsAreRefused(t *testing.T) {
+	b := newBench(t)
+	calls := []struct{ method, path, body string }{
+		{http.MethodPut, "/v1/entry?key=k", `{}`},
+		{http.MethodPut, "/v1/entry?key=", `{}`},
+		{http.MethodGet, "/v1/watch?after=-1&wait_ms=1", ``},
+		{http.MethodPost, "/v1/leases", `{"ttl_ms":9223372036854775807}`},
+		{http.MethodPost, "/v1/leases", `{`},
+		{http.MethodPost, "/v1/lease?lease=x", ``},
+		{http.MethodPut, "/admin/faults", `{"outage":"some"}`},
+	}
+	for _, call := range calls {
+		request, err := http.NewRequest(call.method, "http://"+b.address.String()+call.path, strings.NewReader(call.body))
+		require.NoError(t, err)
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusBadRequest, response.StatusCode, call.path)
+	}
+}
+
+func TestSettings(t *testing.T) {
+	_, module, err := kernel.Fit[platform.Store](kernel.EdgePlatform, httpkv.Name)
+	require.NoError(t, err)
+	env := kernel.Env{Path: "node.platform.settings"}
+	require.NoError(t, module.Provision(env, json.RawMessage(`{"addresses":["127.0.0.1:1"]}`)))
+	bad := map[string]string{
+		`{"addresses":[]}`:                                "node.platform.settings.addresses: []",
+		`{"addresses":["127.0.0.1:1","host:1"]}`:          `node.platform.settings.addresses[1]: "host:1"`,
+		`{"addresses":["127.0.0.1:0"]}`:                   "node.platform.settings.addresses[0]: 127.0.0.1:0",
+		`{"addresses":["127.0.0.1:1"],"timeout_ms":-1}`:   "node.platform.settings.timeout_ms: -1",
+		`{"addresses":["127.0.0.1:1"],"call_rate":1}`:     "node.platform.settings.call_rate: unknown field",
+		`{"addresses":["127.0.0.1:1"],"watch_ms":600000}`: "node.platform.settings.watch_ms: 600000",
+	}
+	for text, message := range bad {
+		require.ErrorContains(t, module.Provision(env, json.RawMessage(text)), message)
+	}
+}
