--- a/cmd/balsamagent/main.go
+++ b/cmd/balsamagent/main.go
@@ -9,6 +9,7 @@
 	"github.com/balsamlink/balsamlink/internal/settings"
 
 	_ "github.com/balsamlink/balsamlink/internal/credential/bearer"
+	_ "github.com/balsamlink/balsamlink/internal/platform/httpkv"
 	_ "github.com/balsamlink/balsamlink/internal/target/http1"
 )
 
--- a/cmd/balsamdev/main.go
+++ b/cmd/balsamdev/main.go
@@ -8,11 +8,13 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/balsamlink/balsamlink/internal/command"
+	"github.com/balsamlink/balsamlink/internal/devcerts"
 	"github.com/balsamlink/balsamlink/internal/experiment"
 	"github.com/balsamlink/balsamlink/internal/load"
 	"github.com/balsamlink/balsamlink/internal/standin/bare"
 	"github.com/balsamlink/balsamlink/internal/standin/deployment"
 	"github.com/balsamlink/balsamlink/internal/standin/fabric"
+	"github.com/balsamlink/balsamlink/internal/standin/platform"
 	"github.com/balsamlink/balsamlink/internal/standin/target"
 )
 
@@ -24,6 +26,8 @@
 			deployment.Command(),
 			fabric.Command(),
 			bare.Command(),
+			platform.Command(),
+			devcerts.Command(),
 			target.Command(),
 			load.Command(),
 			experiment.Command(),
--- a/cmd/balsamlb/main.go
+++ b/cmd/balsamlb/main.go
@@ -9,6 +9,7 @@
 	"github.com/balsamlink/balsamlink/internal/settings"
 
 	_ "github.com/balsamlink/balsamlink/internal/fabric/proxyv2"
+	_ "github.com/balsamlink/balsamlink/internal/platform/httpkv"
 )
 
 func main() {
