Check settings in full at the start

Cause: a bad address, a missing file or two services with one tag surfaced late or not at all. Taken: settings.Load decodes strictly, sees relative paths from the file's folder, and reports every semantic fault with path, value and what is allowed. The command line and balsamctl read their settings through it, so one struct (settings.Operator) stands in place of balsamctl's own. Ruled out: JSON schema alone, which can't tell files, registered plug-ins, collisions between fields or zone tags.

--- a/cmd/balsamctl/main.go
+++ b/cmd/balsamctl/main.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/balsamlink/balsamlink/internal/operator/ctl"
+
+	_ "github.com/balsamlink/balsamlink/internal/platform/httpkv"
 )
 
 func main() {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -14,7 +14,7 @@
 
 	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/observe"
-	"github.com/balsamlink/balsamlink/internal/strictjson"
+	"github.com/balsamlink/balsamlink/internal/settings"
 )
 
 // Process describes a program that runs with settings of type T.
@@ -62,27 +62,18 @@
 	if command.Args().Present() {
 		return kernel.Usage(errors.New("argument " + command.Args().First() + " is not expected"))
 	}
-	settings, err := read[T](command.String("settings"))
+	loaded, err := settings.Load[T](command.String("settings"))
 	if err != nil {
 		return kernel.Usage(err)
 	}
-	log, err := observe.NewLog(os.Stderr, p.Level(settings))
+	log, err := observe.NewLog(os.Stderr, p.Level(loaded))
 	if err != nil {
 		return kernel.Usage(err)
 	}
 	if command.Bool("check-settings") {
-		return p.Check(settings, log)
+		return p.Check(loaded, log)
 	}
-	return p.Run(ctx, settings, log)
-}
-
-func read[T any](path string) (T, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		var none T
-		return none, err
-	}
-	return strictjson.Decode[T](text)
+	return p.Run(ctx, loaded, log)
 }
 
 func version() string {
--- a/internal/operator/ctl/session.go
+++ b/internal/operator/ctl/session.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net/netip"
-	"os"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
@@ -16,18 +14,10 @@
 	"github.com/balsamlink/balsamlink/internal/platform"
 	"github.com/balsamlink/balsamlink/internal/rpc"
 	"github.com/balsamlink/balsamlink/internal/settings"
-	"github.com/balsamlink/balsamlink/internal/strictjson"
 )
 
 // Settings are the settings of balsamctl.
-type Settings struct {
-	// Author is the name under which changes stand in the audit trail.
-	Author string     `json:"author" jsonschema:"minLength=1,maxLength=200"`
-	Keys   keys.Files `json:"keys"`
-	// Seeds are control addresses of balancers, for when the platform is silent.
-	Seeds    []netip.AddrPort `json:"seeds,omitempty"`
-	Platform settings.Plugin  `json:"platform"`
-}
+type Settings = settings.Operator
 
 // session is what a verb works with.
 type session struct {
@@ -42,11 +32,7 @@
 	if path == "" {
 		return Settings{}, kernel.Usage(errors.New("--settings FILE is needed"))
 	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, kernel.Usage(err)
-	}
-	read, err := strictjson.Decode[Settings](text)
+	read, err := settings.Load[Settings](path)
 	return read, kernel.Usage(err)
 }
 
@@ -86,7 +72,7 @@
 func provision(module kernel.Module, settings json.RawMessage) error {
 	log := logrus.New()
 	log.SetLevel(logrus.WarnLevel)
-	if err := module.Provision(kernel.Env{Log: logrus.NewEntry(log)}, settings); err != nil {
+	if err := module.Provision(kernel.Env{Log: logrus.NewEntry(log), Path: "platform.settings"}, settings); err != nil {
 		return err
 	}
 	return module.Validate()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,11 +17,17 @@
 
 // Node is what every process of the system knows of itself.
 type Node struct {
+	// Name is unique in the deployment and the common name of the certificate.
 	Name model.NodeID `json:"name"`
-	Zone model.Zone   `json:"zone"`
+	// Zone is the availability zone that the process runs in.
+	Zone model.Zone `json:"zone"`
+	// Zones are all zones of the deployment. When they are given, names that
+	// collide are refused.
+	Zones []model.Zone `json:"zones,omitempty"`
 	// LogLevel is a level of logrus; empty means "info".
-	LogLevel string     `json:"log_level,omitempty"`
-	Keys     keys.Files `json:"keys"`
+	LogLevel string `json:"log_level,omitempty"`
+	// Keys names the files with the secrets of this process.
+	Keys keys.Files `json:"keys"`
 	// Control is the TCP address for calls between the system's processes.
 	Control netip.AddrPort `json:"control"`
 	// Data is the UDP address for datagrams between balancers and agents.
@@ -33,13 +39,16 @@
 	Seeds []netip.AddrPort `json:"seeds,omitempty"`
 	// DrainSeconds is how long a graceful shutdown waits for open flows.
 	DrainSeconds float64 `json:"drain_seconds"`
-	Platform     Plugin  `json:"platform"`
+	// Platform is the plug-in for the platform's key-value service. Without a
+	// name, documents come from peers alone.
+	Platform Plugin `json:"platform"`
 }
 
 // Plugin names the plug-in fitted to an edge, with its own settings.
 type Plugin struct {
-	Plugin   string          `json:"plugin"`
-	Settings json.RawMessage `json:"settings"`
+	Plugin string `json:"plugin"`
+	// Settings are the plug-in's own.
+	Settings json.RawMessage `json:"settings,omitempty"`
 }
 
 // Balancer holds the settings of balsamlb.
@@ -47,25 +56,42 @@
 	Node Node `json:"node"`
 	// Services are all services with the addresses that callers use.
 	Services []Service `json:"services"`
-	Fabric   Plugin    `json:"fabric"`
+	// Fabric is the plug-in that takes callers' datagrams from the fabric.
+	Fabric Plugin `json:"fabric"`
 }
 
 // Service is one service and the UDP address that callers send to.
 type Service struct {
-	Name    model.Service  `json:"name"`
+	// Name names the service.
+	Name model.Service `json:"name"`
+	// Address is what callers send to.
 	Address netip.AddrPort `json:"address"`
 }
 
 // Agent holds the settings of balsamagent.
 type Agent struct {
-	Node    Node          `json:"node"`
+	Node Node `json:"node"`
+	// Service is the service of the target beside this process.
 	Service model.Service `json:"service"`
 	// Certificate and Key are the PEM files that callers of the service see.
 	Certificate string `json:"certificate"`
 	Key         string `json:"key"`
-	Target      Plugin `json:"target"`
-	Credential  Plugin `json:"credential"`
+	// Target is the plug-in that forwards requests to the target.
+	Target Plugin `json:"target"`
+	// Credential is the plug-in that tells the customer of a request.
+	Credential Plugin `json:"credential"`
 	// Relay is the TCP address at which other agents of the service hand over
 	// requests.
 	Relay netip.AddrPort `json:"relay"`
 }
+
+// Operator holds the settings of balsamctl.
+type Operator struct {
+	// Author is the name under which changes stand in the audit trail.
+	Author string     `json:"author" jsonschema:"minLength=1,maxLength=200"`
+	Keys   keys.Files `json:"keys"`
+	// Seeds are control addresses of balancers, for when the platform is silent.
+	Seeds []netip.AddrPort `json:"seeds,omitempty"`
+	// Platform is the plug-in for the platform's key-value service.
+	Platform Plugin `json:"platform"`
+}
