Generate the settings reference from the structs

Cause: a reference kept by hand drifts from what the programs accept. Taken: strictjson.Describe lists the fields of a struct with what its schema allows and its doc comments; a test fails when docs/settings.md is not current and writes it with -update. Ruled out: publishing the JSON schemas alone, which operators would have to read as code.

--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -23,9 +23,10 @@
 	// Authority is the PEM file of the system's certificate authority. It may
 	// hold several while they are rotated.
 	Authority string `json:"authority" jsonschema:"minLength=1"`
-	// Certificate and Key are the PEM files of this process.
+	// Certificate is the PEM file of this process's certificate.
 	Certificate string `json:"certificate" jsonschema:"minLength=1"`
-	Key         string `json:"key" jsonschema:"minLength=1"`
+	// Key is the PEM file of the certificate's private key.
+	Key string `json:"key" jsonschema:"minLength=1"`
 	// Shared is a file with one line for each shared key: its name, a space,
 	// optionally its number (0 to 3) and a space, and 64 hex digits. The names
 	// are "datagram", "connection_id" and "reset". Of two keys with one name,
--- /dev/null
+++ b/internal/settings/reference/reference.go
@@ -0,0 +1,79 @@
+// Package reference writes the page docs/settings.md from the settings structs
+// and their doc comments.
+package reference
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/balsamlink/balsamlink/internal/fabric/proxyv2"
+	"github.com/balsamlink/balsamlink/internal/platform/httpkv"
+	"github.com/balsamlink/balsamlink/internal/settings"
+	"github.com/balsamlink/balsamlink/internal/strictjson"
+	"github.com/balsamlink/balsamlink/internal/target/http1"
+)
+
+const module = "github.com/balsamlink/balsamlink"
+
+const introduction = `# Settings
+
+This page is generated from the structs; ` + "`go test ./internal/settings/reference -update`" + ` writes it anew.
+
+Settings are one JSON file for each process, named by ` + "`--settings FILE`" + `; ` + "`--check-settings`" + ` checks it and ends with 0,
+or with 2 and every problem: its path, the value and what is allowed. Unknown, repeated and ill-typed fields are
+refused. Relative file names are seen from the folder of the settings file. Secrets are files, never settings.
+`
+
+// section is one struct of the page.
+type section struct {
+	title  string
+	fields []strictjson.Field
+}
+
+// Markdown returns the page. The working directory must be the root of the
+// sources.
+func Markdown() (string, error) {
+	comments, err := strictjson.ReadComments(module, "./internal")
+	if err != nil {
+		return "", err
+	}
+	var page strings.Builder
+	page.WriteString(introduction)
+	for _, describe := range []func(strictjson.Comments) (section, error){
+		sectionOf[settings.Balancer]("balsamlb"),
+		sectionOf[settings.Agent]("balsamagent"),
+		sectionOf[settings.Operator]("balsamctl"),
+		sectionOf[httpkv.Settings]("Platform plug-in \"httpkv\""),
+		sectionOf[proxyv2.Settings]("Fabric plug-in \"proxyv2\""),
+		sectionOf[http1.Settings]("Target plug-in \"http1\""),
+	} {
+		section, err := describe(comments)
+		if err != nil {
+			return "", err
+		}
+		section.write(&page)
+	}
+	return page.String(), nil
+}
+
+func sectionOf[T any](title string) func(strictjson.Comments) (section, error) {
+	return func(comments strictjson.Comments) (section, error) {
+		fields, err := strictjson.Describe[T](comments)
+		return section{title: title, fields: fields}, err
+	}
+}
+
+func (s section) write(page *strings.Builder) {
+	fmt.Fprintf(page, "\n## %s\n\n| field | needed | allowed | meaning |\n|---|---|---|---|\n", s.title)
+	for _, field := range s.fields {
+		needed := "no"
+		if field.Required {
+			needed = "yes"
+		}
+		fmt.Fprintf(page, "| `%s` | %s | %s | %s |\n", field.Path, needed, cell(field.Allowed), cell(field.Help))
+	}
+}
+
+func cell(text string) string {
+	return strings.ReplaceAll(strings.Join(strings.Fields(text), " "), "|", "\\|")
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,7 @@
 
 // Plugin names the plug-in fitted to an edge, with its own settings.
 type Plugin struct {
+	// Plugin is the registered name of the plug-in.
 	Plugin string `json:"plugin"`
 	// Settings are the plug-in's own.
 	Settings json.RawMessage `json:"settings,omitempty"`
@@ -53,6 +54,7 @@
 
 // Balancer holds the settings of balsamlb.
 type Balancer struct {
+	// Node is what every process of the system knows of itself.
 	Node Node `json:"node"`
 	// Services are all services with the addresses that callers use.
 	Services []Service `json:"services"`
@@ -70,12 +72,14 @@
 
 // Agent holds the settings of balsamagent.
 type Agent struct {
+	// Node is what every process of the system knows of itself.
 	Node Node `json:"node"`
 	// Service is the service of the target beside this process.
 	Service model.Service `json:"service"`
-	// Certificate and Key are the PEM files that callers of the service see.
+	// Certificate is the PEM file of the certificate that callers see.
 	Certificate string `json:"certificate"`
-	Key         string `json:"key"`
+	// Key is the PEM file of the certificate's private key.
+	Key string `json:"key"`
 	// Target is the plug-in that forwards requests to the target.
 	Target Plugin `json:"target"`
 	// Credential is the plug-in that tells the customer of a request.
@@ -88,8 +92,9 @@
 // Operator holds the settings of balsamctl.
 type Operator struct {
 	// Author is the name under which changes stand in the audit trail.
-	Author string     `json:"author" jsonschema:"minLength=1,maxLength=200"`
-	Keys   keys.Files `json:"keys"`
+	Author string `json:"author" jsonschema:"minLength=1,maxLength=200"`
+	// Keys names the files with the secrets of this operator.
+	Keys keys.Files `json:"keys"`
 	// Seeds are control addresses of balancers, for when the platform is silent.
 	Seeds []netip.AddrPort `json:"seeds,omitempty"`
 	// Platform is the plug-in for the platform's key-value service.
--- a/internal/strictjson/check.go
+++ b/internal/strictjson/check.go
@@ -131,6 +131,16 @@
 	{"pattern", "of the form"},
 }
 
+// allowedByType tells people what a type of JSON schema allows.
+var allowedByType = map[string]string{
+	"string":  "a string",
+	"number":  "a number",
+	"integer": "a whole number",
+	"boolean": "true or false",
+	"object":  "an object",
+	"array":   "an array",
+}
+
 func typeWords(rules map[string]any) string {
 	if format, set := rules["format"].(string); set {
 		if words, known := allowedByFormat[format]; known {
@@ -138,7 +148,7 @@
 		}
 	}
 	if name, set := rules["type"].(string); set {
-		return "a value of type " + name
+		return allowedByType[name]
 	}
 	return "any JSON value"
 }
