Count the platform's calls and reload secrets in every process

Cause: operators could not see repeats, refusals or budgets of the platform edge, and nothing ran the watcher of secrets.

--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -93,7 +93,7 @@
 		target: fitted.target, checker: fitted.checker, store: store,
 		health: common.Health, counters: common.Counters, log: log,
 	}
-	parts := common.Parts(platformPart, control)
+	parts := common.Parts(platformPart, control, fitted.ring, fitted.certificate.Reloader())
 	parts = append(parts, fitted.parts...)
 	parts = append(parts, kernel.Part{Name: "agent", Module: own})
 	return parts, common.Options(), nil
--- a/internal/balancer/module.go
+++ b/internal/balancer/module.go
@@ -90,7 +90,7 @@
 		settings: settings, ring: ring, control: control, fabric: edge,
 		health: common.Health, counters: common.Counters, log: log,
 	}
-	parts := common.Parts(platformPart, control)
+	parts := common.Parts(platformPart, control, ring)
 	if store != nil {
 		parts = append(parts, kernel.Part{Name: "keeper", Module: newKeeperModule(settings, control, store, log)})
 	}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -10,6 +10,8 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
+
+	"github.com/balsamlink/balsamlink/internal/observe"
 )
 
 // Error is the class of all errors of this layer.
@@ -47,6 +49,8 @@
 // Env is what a module may use of its process.
 type Env struct {
 	Log *logrus.Entry
+	// Counters is the set that the module adds its metrics to.
+	Counters *observe.Counters
 	// Path is where the module's settings stand in the settings file, as in
 	// "node.platform.settings". It begins the path of each problem.
 	Path string
--- a/internal/kernel/run.go
+++ b/internal/kernel/run.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/balsamlink/balsamlink/internal/observe"
 )
 
 const (
@@ -47,6 +49,9 @@
 // Options says how a process runs.
 type Options struct {
 	Log *logrus.Entry
+	// Counters is the set that modules add their metrics to; nil stands for one
+	// that is not shown.
+	Counters *observe.Counters
 	// DrainTimeout is how long a graceful shutdown waits for open work.
 	DrainTimeout time.Duration
 	// Signals brings the signals that end the process; nil stands for SIGTERM
@@ -95,13 +100,17 @@
 }
 
 func newProcess(options Options, parts []Part) *process {
+	if options.Counters == nil {
+		options.Counters = observe.NewCounters()
+	}
 	return &process{options: options, parts: parts, failed: make(chan error, 1)}
 }
 
 func (p *process) env(part Part) Env {
 	return Env{
-		Log:  p.options.Log.WithField("part", part.Name),
-		Path: part.Path,
+		Log:      p.options.Log.WithField("part", part.Name),
+		Counters: p.options.Counters,
+		Path:     part.Path,
 		Fail: func(err error) {
 			select {
 			case p.failed <- stepError(StepRun, part, err):
--- a/internal/node/common.go
+++ b/internal/node/common.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/keys"
 	"github.com/balsamlink/balsamlink/internal/observe"
 	"github.com/balsamlink/balsamlink/internal/platform"
 	"github.com/balsamlink/balsamlink/internal/settings"
@@ -30,10 +31,12 @@
 	}
 }
 
-// Parts returns the parts that start before a process's own.
-func (c *Common) Parts(platformPart *kernel.Part, control *Control) []kernel.Part {
+// Parts returns the parts that start before a process's own. The ring and the
+// other secrets are loaded anew when their files change.
+func (c *Common) Parts(platformPart *kernel.Part, control *Control, ring *keys.Ring, others ...keys.Reloader) []kernel.Part {
 	operators := &Operators{Addr: c.settings.Operators, Counters: c.Counters, Health: c.Health, Log: c.log}
-	parts := []kernel.Part{{Name: "operators", Module: operators}}
+	secrets := NewSecrets(ring, c.Counters, c.log, others...)
+	parts := []kernel.Part{{Name: "operators", Module: operators}, {Name: "secrets", Module: secrets}}
 	if platformPart != nil {
 		parts = append(parts, *platformPart)
 	}
@@ -44,6 +47,7 @@
 func (c *Common) Options() kernel.Options {
 	return kernel.Options{
 		Log:          c.log,
+		Counters:     c.Counters,
 		DrainTimeout: time.Duration(c.settings.DrainSeconds * float64(time.Second)),
 		Running:      func() { c.Health.Met(ConditionStarted) },
 		Draining:     func() { c.Health.Unmet(ConditionServing, "the process is draining") },
--- a/internal/platform/httpkv/call.go
+++ b/internal/platform/httpkv/call.go
@@ -56,7 +56,11 @@
 		if attempt > 1 && !c.retries.Allow() {
 			return struct{}{}, backoff.Permanent(platform.Error.Wrap(platform.ErrUnavailable))
 		}
+		if attempt > 1 {
+			c.metrics.repeats.Inc()
+		}
 		err := c.attempt(ctx, call, answer)
+		c.metrics.count(err)
 		if err != nil && !retryable(call, err) {
 			err = backoff.Permanent(err)
 		}
@@ -96,8 +100,10 @@
 // attempt sends a call once, to one address.
 func (c *client) attempt(ctx context.Context, call call, answer any) error {
 	if !c.budget.Allow() {
+		c.metrics.overBudget.Inc()
 		return platform.Error.Wrap(platform.ErrOverBudget)
 	}
+	c.metrics.attempts.Inc()
 	ctx, cancel := context.WithTimeout(ctx, call.timeout)
 	defer cancel()
 	var sent atomic.Bool
@@ -143,7 +149,20 @@
 }
 
 // rotate goes on to the next address unless another call already did.
-func (c *client) rotate(index uint32) { c.address.CompareAndSwap(index, index+1) }
+func (c *client) rotate(index uint32) {
+	if c.address.CompareAndSwap(index, index+1) {
+		c.metrics.rotations.Inc()
+	}
+}
+
+func (m metrics) count(err error) {
+	switch {
+	case errors.Is(err, platform.ErrUnavailable):
+		m.unavailable.Inc()
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		m.unknown.Inc()
+	}
+}
 
 // transportError tells a call that was never sent from one whose answer is
 // missing.
--- a/internal/platform/httpkv/httpkv.go
+++ b/internal/platform/httpkv/httpkv.go
@@ -18,6 +18,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/observe"
 	"github.com/balsamlink/balsamlink/internal/platform"
 	"github.com/balsamlink/balsamlink/internal/platform/kvproto"
 )
@@ -49,12 +50,34 @@
 	address atomic.Uint32
 	budget  *rate.Limiter
 	retries *rate.Limiter
+	metrics metrics
+}
+
+// metrics counts the calls of the process.
+type metrics struct {
+	attempts    *observe.Counter
+	repeats     *observe.Counter
+	overBudget  *observe.Counter
+	unavailable *observe.Counter
+	unknown     *observe.Counter
+	rotations   *observe.Counter
+}
+
+func newMetrics(counters *observe.Counters) metrics {
+	return metrics{
+		attempts:    counters.Counter("platform_attempts", "Calls sent to the platform's service, repetitions included."),
+		repeats:     counters.Counter("platform_repeats", "Calls to the platform's service that were sent again."),
+		overBudget:  counters.Counter("platform_over_budget", "Calls left out since the process's budget of calls was used up."),
+		unavailable: counters.Counter("platform_unavailable", "Attempts that had no effect since the service refused or could not be reached."),
+		unknown:     counters.Counter("platform_unknown_outcome", "Attempts whose answer was missing or malformed."),
+		rotations:   counters.Counter("platform_address_changes", "Changes to another address of the platform's service."),
+	}
 }
 
-// New returns a store that calls the service. Close frees its connections.
+// New returns a store that calls the service, for use without a kernel.
 func New(settings Settings) platform.Store {
 	c := &client{}
-	c.open(settings.withDefaults())
+	c.open(settings.withDefaults(), observe.NewCounters())
 	return c
 }
 
@@ -64,7 +87,11 @@
 	if err != nil {
 		return err
 	}
-	c.open(settings)
+	counters := env.Counters
+	if counters == nil {
+		counters = observe.NewCounters()
+	}
+	c.open(settings, counters)
 	return nil
 }
 
@@ -85,7 +112,8 @@
 	return nil
 }
 
-func (c *client) open(settings Settings) {
+func (c *client) open(settings Settings, counters *observe.Counters) {
+	c.metrics = newMetrics(counters)
 	c.settings = settings
 	c.budget = rate.NewLimiter(rate.Limit(settings.CallsPerSecond), int(settings.CallBurst))
 	c.retries = rate.NewLimiter(retriesPerSecond, retryBurst)
