Accept two shared keys at once on the wire and in connection IDs

Cause: a shared key could only be replaced by stopping everything, since each datagram and connection ID was checked with one key. Taken: the number of the key (two bits) stands in the version octet of a datagram's header and in the first octet of a connection ID; processes send with the first key and accept two. The format grows by no byte. Ruled out: trying all keys in turn, which doubles the work that a forged datagram can cause. Tests: each stage of a rotation understands its neighbours and no other; the steering tests' key has 32 bytes now, as real ones have (it had 16).

--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -78,7 +78,7 @@
 	}
 	bound := socket.LocalAddr().(*net.UDPAddr).AddrPort()
 	place := steering.Place{Agent: unmap(bound), Zone: config.Zone.Tag(), Service: config.Service.Tag()}
-	front := &Front{config: config, conn: newPacketConn(socket, config.Shared.Datagram[:], place, config.Requests)}
+	front := &Front{config: config, conn: newPacketConn(socket, config.Shared.DatagramKeys(), place, config.Requests)}
 	if err := front.openTransport(place); err != nil {
 		socket.Close()
 		return nil, err
@@ -138,7 +138,7 @@
 func (f *Front) OpenFlows() int64 { return f.open.Load() }
 
 func (f *Front) openTransport(place steering.Place) error {
-	sealer, err := steering.NewSealer(f.config.Shared.ConnectionID[:])
+	sealer, err := steering.NewSealer(f.config.Shared.ConnectionIDKeys())
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/internal/agent/packetconn.go
+++ b/internal/agent/packetconn.go
@@ -76,14 +76,14 @@
 	answers  atomic.Uint64
 }
 
-func newPacketConn(socket *net.UDPConn, key []byte, place steering.Place, flows Flows) *packetConn {
+func newPacketConn(socket *net.UDPConn, keys []model.SharedKey, place steering.Place, flows Flows) *packetConn {
 	return &packetConn{
 		socket:     socket,
 		service:    place.Service,
 		zone:       place.Zone,
 		flows:      flows,
-		readCodec:  wire.NewCodec(key),
-		writeCodec: wire.NewCodec(key),
+		readCodec:  wire.NewCodec(keys),
+		writeCodec: wire.NewCodec(keys),
 		egress:     newEgress(),
 		chooser:    steering.NewChooser(),
 	}
--- a/internal/balancer/module.go
+++ b/internal/balancer/module.go
@@ -101,7 +101,7 @@
 // Validate implements kernel.Module: it makes everything that needs no socket.
 func (m *module) Validate() error {
 	shared := m.ring.Shared()
-	sealer, err := steering.NewSealer(shared.ConnectionID[:])
+	sealer, err := steering.NewSealer(shared.ConnectionIDKeys())
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -135,7 +135,7 @@
 	}
 	traffic, err := NewTraffic(TrafficConfig{
 		Fabric: m.fabric, Data: m.settings.Node.Data, Freshness: m.control.Cluster,
-		Key: shared.Datagram[:], Zone: m.settings.Node.Zone, Services: addresses,
+		Keys: shared.DatagramKeys(), Zone: m.settings.Node.Zone, Services: addresses,
 	})
 	if err != nil {
 		return err
--- a/internal/balancer/traffic.go
+++ b/internal/balancer/traffic.go
@@ -81,7 +81,7 @@
 	fabric    fabric.Fabric
 	socket    *net.UDPConn
 	freshness Freshness
-	key       []byte
+	keys      []model.SharedKey
 	zone      model.ZoneTag
 	table     atomic.Pointer[steering.Table]
 	tags      map[netip.AddrPort]model.ServiceTag
@@ -95,8 +95,9 @@
 	Fabric    fabric.Fabric
 	Data      netip.AddrPort
 	Freshness Freshness
-	// Key authenticates datagrams between balancers and agents.
-	Key      []byte
+	// Keys authenticate datagrams between balancers and agents. The first is
+	// used, all are accepted.
+	Keys     []model.SharedKey
 	Zone     model.Zone
 	Services map[model.Service]netip.AddrPort
 }
@@ -113,7 +114,7 @@
 		fabric:    config.Fabric,
 		socket:    socket,
 		freshness: config.Freshness,
-		key:       config.Key,
+		keys:      config.Keys,
 		zone:      config.Zone.Tag(),
 		tags:      map[netip.AddrPort]model.ServiceTag{},
 		addresses: map[model.ServiceTag]netip.AddrPort{},
@@ -157,7 +158,7 @@
 }
 
 func (t *Traffic) forwardPackets() {
-	worker := &steerer{codec: wire.NewCodec(t.key)}
+	worker := &steerer{codec: wire.NewCodec(t.keys)}
 	buffer := make([]byte, maxPacket)
 	for {
 		packet, err := t.fabric.Receive(buffer)
@@ -267,7 +268,7 @@
 }
 
 func (t *Traffic) forwardAnswers() {
-	codec := wire.NewCodec(t.key)
+	codec := wire.NewCodec(t.keys)
 	buffer := make([]byte, wire.MaxDatagram+1)
 	scratch := make([]byte, maxPacket)
 	for {
--- a/internal/experiment/datagrams.go
+++ b/internal/experiment/datagrams.go
@@ -29,7 +29,7 @@
 
 var (
 	anyPort      = netip.MustParseAddrPort("127.0.0.1:0")
-	relayKey     = [32]byte{1}
+	relayKeys    = []model.SharedKey{{Secret: [model.SharedKeySize]byte{1}}}
 	relayService = model.Service("memberdesk")
 	relayAddress = netip.MustParseAddrPort("127.0.0.1:7443")
 )
@@ -84,7 +84,7 @@
 }
 
 func startTraffic(sources sources) (*proxyv2.ProxyV2, *balancer.Traffic, error) {
-	sealer, err := steering.NewSealer(relayKey[:])
+	sealer, err := steering.NewSealer(relayKeys)
 	if err != nil {
 		return nil, nil, Error.Wrap(err)
 	}
@@ -100,7 +100,7 @@
 		return nil, nil, Error.Wrap(err)
 	}
 	traffic, err := balancer.NewTraffic(balancer.TrafficConfig{
-		Fabric: plugin, Data: anyPort, Freshness: alwaysFresh{}, Key: relayKey[:], Zone: "a",
+		Fabric: plugin, Data: anyPort, Freshness: alwaysFresh{}, Keys: relayKeys, Zone: "a",
 		Services: map[model.Service]netip.AddrPort{relayService: relayAddress},
 	})
 	if err != nil {
@@ -160,7 +160,7 @@
 // relayedPacket makes a datagram as the fabric sends it, of an established flow
 // whose agent is at an address.
 func relayedPacket(agent netip.AddrPort) ([]byte, error) {
-	sealer, err := steering.NewSealer(relayKey[:])
+	sealer, err := steering.NewSealer(relayKeys)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/balsamlink/balsamlink/internal/devcerts"
 	"github.com/balsamlink/balsamlink/internal/keys"
+	"github.com/balsamlink/balsamlink/internal/model"
 	"github.com/balsamlink/balsamlink/internal/observe"
 )
 
@@ -167,7 +168,7 @@
 	require.NoError(t, err)
 	datagram := ring.Shared().DatagramKeys()
 	require.Len(t, datagram, 2)
-	require.Equal(t, keys.KeyNumber(2), datagram[0].Number)
+	require.Equal(t, model.KeyNumber(2), datagram[0].Number)
 	require.Equal(t, ring.Shared().Datagram, datagram[0].Secret)
 	require.Equal(t, byte(0x11), datagram[1].Secret[0])
 	require.Len(t, ring.Shared().ConnectionIDKeys(), 1)
--- a/internal/keys/shared.go
+++ b/internal/keys/shared.go
@@ -8,25 +8,18 @@
 	"strings"
 
 	"github.com/zeebo/errs"
+
+	"github.com/balsamlink/balsamlink/internal/model"
 )
 
 // SharedKeySize is the length of each shared key, in bytes.
-const SharedKeySize = 32
-
-// MaxKeyNumber is the largest number of a shared key; it fits two bits.
-const MaxKeyNumber = 3
+const SharedKeySize = model.SharedKeySize
 
 // maxKeysOfName is how many keys of one name are in use while keys are rotated.
 const maxKeysOfName = 2
 
-// KeyNumber tells which of two keys was used. It is carried in clear.
-type KeyNumber uint8
-
 // Key is a shared key with its number.
-type Key struct {
-	Number KeyNumber
-	Secret [SharedKeySize]byte
-}
+type Key = model.SharedKey
 
 // Shared holds the keys that all processes of a deployment have in common.
 // Datagram, ConnectionID and Reset are the keys to send with. While keys are
@@ -36,8 +29,8 @@
 	ConnectionID [SharedKeySize]byte
 	Reset        [SharedKeySize]byte
 
-	DatagramNumber     KeyNumber
-	ConnectionIDNumber KeyNumber
+	DatagramNumber     model.KeyNumber
+	ConnectionIDNumber model.KeyNumber
 	OtherDatagram      *Key
 	OtherConnectionID  *Key
 }
@@ -71,7 +64,7 @@
 // sharedForm describes the lines of the file in errors.
 var sharedForm = fmt.Sprintf(
 	"lines of the form NAME [NUMBER] HEX with the names %s, %s, %s, numbers 0 to %d and %d hex digits",
-	nameDatagram, nameConnectionID, nameReset, MaxKeyNumber, 2*SharedKeySize)
+	nameDatagram, nameConnectionID, nameReset, model.MaxKeyNumber, 2*SharedKeySize)
 
 // parseShared reads the file of shared keys. Empty lines and lines that begin
 // with # mean nothing.
@@ -115,10 +108,10 @@
 	var key Key
 	if len(fields) == 2 {
 		number, err := strconv.ParseUint(fields[0], 10, 8)
-		if err != nil || number > MaxKeyNumber {
+		if err != nil || number > model.MaxKeyNumber {
 			return Key{}, errs.New("key number %q is not allowed", fields[0])
 		}
-		key.Number = KeyNumber(number)
+		key.Number = model.KeyNumber(number)
 		fields = fields[1:]
 	}
 	if len(fields) != 1 {
--- a/internal/pathtest/path_test.go
+++ b/internal/pathtest/path_test.go
@@ -113,7 +113,7 @@
 	require.NoError(t, plugin.Provision(kernel.Env{}, settings))
 	require.NoError(t, plugin.Start(context.Background()))
 	traffic, err := balancer.NewTraffic(balancer.TrafficConfig{
-		Fabric: plugin, Data: loopback, Freshness: alwaysFresh{}, Key: shared.Datagram[:], Zone: "a",
+		Fabric: plugin, Data: loopback, Freshness: alwaysFresh{}, Keys: shared.DatagramKeys(), Zone: "a",
 		Services: map[model.Service]netip.AddrPort{service: p.fabric.Services()[0]},
 	})
 	require.NoError(t, err)
@@ -127,7 +127,7 @@
 }
 
 func tableOf(t *testing.T, agents []*agent.Front) *steering.Table {
-	sealer, err := steering.NewSealer(shared.ConnectionID[:])
+	sealer, err := steering.NewSealer(shared.ConnectionIDKeys())
 	require.NoError(t, err)
 	input := steering.Input{Services: []model.Service{service}, Sealer: sealer}
 	for i, front := range agents {
--- a/internal/steering/connid.go
+++ b/internal/steering/connid.go
@@ -28,23 +28,40 @@
 	Service model.ServiceTag
 }
 
-// Sealer turns places into connection IDs and back with one key. It is safe for
-// concurrent use.
+// The first octet of a connection ID holds the number of its key above random
+// bits.
+const (
+	keyNumberShift = 6
+	randomMask     = 1<<keyNumberShift - 1
+)
+
+// Sealer turns places into connection IDs and back. It seals with one key and
+// opens with all. It is safe for concurrent use.
 type Sealer struct {
-	block cipher.Block
+	// blocks holds the keys by their numbers; nil where there is none.
+	blocks [model.MaxKeyNumber + 1]cipher.Block
+	number model.KeyNumber
 }
 
-// NewSealer makes a sealer of a 16-, 24- or 32-byte key.
-func NewSealer(key []byte) (*Sealer, error) {
-	block, err := aes.NewCipher(key)
-	if err != nil {
-		return nil, Error.Wrap(err)
+// NewSealer makes a sealer that seals with the first key.
+func NewSealer(keys []model.SharedKey) (*Sealer, error) {
+	if len(keys) == 0 {
+		return nil, Error.New("no key for connection IDs")
+	}
+	sealer := &Sealer{number: keys[0].Number}
+	for _, key := range keys {
+		block, err := aes.NewCipher(key.Secret[:])
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		sealer.blocks[key.Number] = block
 	}
-	return &Sealer{block: block}, nil
+	return sealer, nil
 }
 
 // Seal writes a connection ID for a place into id. The counter makes the IDs of
-// one agent differ from each other; first is the octet before the sealed block.
+// one agent differ from each other; first gives the random bits before the
+// sealed block.
 // The place's address must be an IPv4 address.
 func (s *Sealer) Seal(id *[ConnectionIDSize]byte, place Place, counter uint32, first byte) error {
 	if !place.Agent.Addr().Is4() {
@@ -57,8 +74,8 @@
 	binary.BigEndian.PutUint16(plain[6:], uint16(place.Zone))
 	binary.BigEndian.PutUint32(plain[8:], uint32(place.Service))
 	binary.BigEndian.PutUint32(plain[12:], counter)
-	id[0] = first
-	s.block.Encrypt(id[1:], plain[:])
+	id[0] = first&randomMask | byte(s.number)<<keyNumberShift
+	s.blocks[s.number].Encrypt(id[1:], plain[:])
 	return nil
 }
 
@@ -75,8 +92,12 @@
 	if len(id) != ConnectionIDSize {
 		return Place{}, false
 	}
+	block := s.blocks[id[0]>>keyNumberShift]
+	if block == nil {
+		return Place{}, false
+	}
 	plain := &scratch.plain
-	s.block.Decrypt(plain[:], id[1:])
+	block.Decrypt(plain[:], id[1:])
 	if model.ServiceTag(binary.BigEndian.Uint32(plain[8:])) != service {
 		return Place{}, false
 	}
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -19,7 +19,7 @@
 )
 
 func sealer(t require.TestingT) *Sealer {
-	s, err := NewSealer([]byte("0123456789abcdef"))
+	s, err := NewSealer([]model.SharedKey{{Number: 2, Secret: [model.SharedKeySize]byte{1}}})
 	require.NoError(t, err)
 	return s
 }
@@ -255,3 +255,30 @@
 		NewTable(input)
 	}
 }
+
+// Connection IDs of flows that began under the old key are opened until it is
+// removed; the number of the key is the only thing that selects it.
+func TestRotationOfConnectionIDKeys(t *testing.T) {
+	old := model.SharedKey{Number: 0, Secret: [model.SharedKeySize]byte{1}}
+	new := model.SharedKey{Number: 3, Secret: [model.SharedKeySize]byte{2}}
+	place := Place{Agent: agentAddr(1), Zone: zones[0].Tag(), Service: services[0].Tag()}
+	stages := [][]model.SharedKey{{old}, {old, new}, {new, old}, {new}}
+	var scratch Scratch
+	for _, from := range stages {
+		issuing, err := NewSealer(from)
+		require.NoError(t, err)
+		for first := range 256 {
+			var id [ConnectionIDSize]byte
+			require.NoError(t, issuing.Seal(&id, place, uint32(first), byte(first)))
+			for _, to := range stages {
+				opening, err := NewSealer(to)
+				require.NoError(t, err)
+				got, opened := opening.Open(id[:], place.Service, &scratch)
+				require.Equal(t, slices.Contains(to, from[0]), opened)
+				require.True(t, !opened || got == place)
+			}
+		}
+	}
+	_, err := NewSealer(nil)
+	require.Error(t, err)
+}
--- a/internal/wire/datagram.go
+++ b/internal/wire/datagram.go
@@ -43,6 +43,8 @@
 
 const (
 	version      = 1
+	versionBits  = 4
+	versionMask  = 1<<versionBits - 1
 	headerFields = 10
 	codeSize     = 16
 	addrSize     = 18
@@ -109,10 +111,15 @@
 	Zone model.ZoneTag
 }
 
-// Codec encodes and decodes datagrams with one key. It reuses its buffers and
+// Codec encodes and decodes datagrams. It reuses its buffers and
 // is not safe for concurrent use; each traffic goroutine has its own.
 type Codec struct {
-	mac     hash.Hash
+	// macs holds the keys by their numbers; nil where there is none.
+	macs [model.MaxKeyNumber + 1]hash.Hash
+	// number is that of the key to encode with, decoded that of the datagram
+	// that was decoded last.
+	number  model.KeyNumber
+	decoded model.KeyNumber
 	sum     []byte
 	out     bytes.Buffer
 	encoder *msgpack.Encoder
@@ -121,9 +128,14 @@
 	addr    [addrSize]byte
 }
 
-// NewCodec makes a codec for the deployment's datagram key.
-func NewCodec(key []byte) *Codec {
-	c := &Codec{mac: hmac.New(sha256.New, key), sum: make([]byte, 0, sha256.Size)}
+// NewCodec makes a codec for the deployment's datagram keys, of which there is
+// at least one. It encodes with the first and decodes with all; the datagram
+// carries the number of its key.
+func NewCodec(keys []model.SharedKey) *Codec {
+	c := &Codec{sum: make([]byte, 0, sha256.Size), number: keys[0].Number}
+	for _, key := range keys {
+		c.macs[key.Number] = hmac.New(sha256.New, key.Secret[:])
+	}
 	c.encoder = msgpack.NewEncoder(&c.out)
 	c.encoder.UseCompactInts(true)
 	c.decoder = msgpack.NewDecoder(&c.in)
@@ -140,7 +152,7 @@
 	if err := c.encodeHeader(header, len(payload)); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	code := c.code(c.out.Bytes())
+	code := c.code(c.number, c.out.Bytes())
 	c.out.Write(code)
 	c.out.Write(payload)
 	return c.out.Bytes(), nil
@@ -159,24 +171,28 @@
 	if c.in.Len() != codeSize+size {
 		return Header{}, nil, Error.Wrap(ErrMalformed)
 	}
-	code := c.code(datagram[:end])
+	if c.macs[c.decoded] == nil {
+		return Header{}, nil, Error.Wrap(ErrForged)
+	}
+	code := c.code(c.decoded, datagram[:end])
 	if subtle.ConstantTimeCompare(code, datagram[end:end+codeSize]) != 1 {
 		return Header{}, nil, Error.Wrap(ErrForged)
 	}
 	return header, datagram[end+codeSize:], nil
 }
 
-func (c *Codec) code(header []byte) []byte {
-	c.mac.Reset()
-	c.mac.Write(header)
-	c.sum = c.mac.Sum(c.sum[:0])
+func (c *Codec) code(number model.KeyNumber, header []byte) []byte {
+	mac := c.macs[number]
+	mac.Reset()
+	mac.Write(header)
+	c.sum = mac.Sum(c.sum[:0])
 	return c.sum[:codeSize]
 }
 
 func (c *Codec) encodeHeader(h Header, size int) error {
 	return errs.Combine(
 		c.encoder.EncodeArrayLen(headerFields),
-		c.encoder.EncodeUint(version),
+		c.encoder.EncodeUint(version|uint64(c.number)<<versionBits),
 		c.encoder.EncodeUint(uint64(h.Kind)),
 		c.encoder.EncodeUint(uint64(h.Service)),
 		c.encodeAddr(h.Caller),
@@ -194,9 +210,11 @@
 	if n, err := c.decoder.DecodeArrayLen(); err != nil || n != headerFields {
 		return h, 0, ErrMalformed
 	}
-	if v, err := c.uint(255); err != nil || v != version {
+	mark, err := c.uint(version | model.MaxKeyNumber<<versionBits)
+	if err != nil || mark&versionMask != version {
 		return h, 0, ErrMalformed
 	}
+	c.decoded = model.KeyNumber(mark >> versionBits)
 	kind, err1 := c.uint(255)
 	service, err2 := c.uint(1<<32 - 1)
 	caller, err3 := c.decodeAddr()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/pires/go-proxyproto"
@@ -42,7 +43,7 @@
 
 func TestDatagramRoundTripAndEveryFlippedHeaderBitIsRefused(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		codec := NewCodec([]byte("key"))
+		codec := NewCodec(testKeys("key"))
 		header := drawHeader(t)
 		payload := rapid.SliceOfN(rapid.Byte(), 0, MaxPayload).Draw(t, "payload")
 		encoded, err := codec.Encode(header, payload)
@@ -63,9 +64,9 @@
 }
 
 func TestAnotherKeyIsForged(t *testing.T) {
-	encoded, err := NewCodec([]byte("one")).Encode(Header{Kind: KindFirst}, []byte("x"))
+	encoded, err := NewCodec(testKeys("one")).Encode(Header{Kind: KindFirst}, []byte("x"))
 	require.NoError(t, err)
-	_, _, err = NewCodec([]byte("two")).Decode(encoded)
+	_, _, err = NewCodec(testKeys("two")).Decode(encoded)
 	require.ErrorIs(t, err, ErrForged)
 }
 
@@ -94,17 +95,17 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	encoded, err := NewCodec([]byte("key")).Encode(Header{Kind: KindFirst, Caller: netip.MustParseAddrPort("127.0.0.1:1")}, []byte("hello"))
+	encoded, err := NewCodec(testKeys("key")).Encode(Header{Kind: KindFirst, Caller: netip.MustParseAddrPort("127.0.0.1:1")}, []byte("hello"))
 	require.NoError(f, err)
 	f.Add(bytes.Clone(encoded))
 	f.Add(encoded[:5])
 	f.Add([]byte{0xdc, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		header, payload, err := NewCodec([]byte("key")).Decode(data)
+		header, payload, err := NewCodec(testKeys("key")).Decode(data)
 		if err == nil {
-			again, err := NewCodec([]byte("key")).Encode(header, payload)
+			again, err := NewCodec(testKeys("key")).Encode(header, payload)
 			require.NoError(t, err)
-			_, _, err = NewCodec([]byte("key")).Decode(again)
+			_, _, err = NewCodec(testKeys("key")).Decode(again)
 			require.NoError(t, err)
 		}
 	})
@@ -123,7 +124,7 @@
 }
 
 func BenchmarkEncodeDecode(b *testing.B) {
-	codec := NewCodec(bytes.Repeat([]byte{1}, 32))
+	codec := NewCodec(testKeys("key"))
 	payload := make([]byte, 1200)
 	header := Header{Kind: KindEstablished, Service: 7, Caller: netip.MustParseAddrPort("127.0.0.1:999"), Revision: 3}
 	b.ReportAllocs()
@@ -137,3 +138,36 @@
 		}
 	}
 }
+
+func testKey(number model.KeyNumber, text string) model.SharedKey {
+	key := model.SharedKey{Number: number}
+	copy(key.Secret[:], text)
+	return key
+}
+
+func testKeys(text string) []model.SharedKey { return []model.SharedKey{testKey(0, text)} }
+
+// Each stage of a rotation understands the stages before and after it.
+func TestRotationOfKeys(t *testing.T) {
+	old, new := testKey(3, "old"), testKey(1, "new")
+	stages := [][]model.SharedKey{{old}, {old, new}, {new, old}, {new}}
+	for i, from := range stages {
+		for j, to := range stages {
+			encoded, err := NewCodec(from).Encode(Header{Kind: KindFirst}, []byte("x"))
+			require.NoError(t, err)
+			_, payload, err := NewCodec(to).Decode(encoded)
+			if slices.Contains(to, from[0]) {
+				require.NoError(t, err, "%d to %d", i, j)
+				require.Equal(t, "x", string(payload))
+				continue
+			}
+			require.ErrorIs(t, err, ErrForged, "%d to %d", i, j)
+			require.Greater(t, max(i-j, j-i), 1, "neighbouring stages understand each other")
+		}
+	}
+	renumbered := NewCodec([]model.SharedKey{testKey(1, "old")})
+	encoded, err := renumbered.Encode(Header{Kind: KindFirst}, []byte("x"))
+	require.NoError(t, err)
+	_, _, err = NewCodec(stages[1]).Decode(encoded)
+	require.ErrorIs(t, err, ErrForged, "the old key under the number of the new one")
+}
