--- a/internal/cluster/harness_test.go
+++ b/internal/cluster/harness_test.go
@@ -89,6 +89,13 @@
 }
 
 func (s secrets) start(t *testing.T, config memberConfig) *member {
+	m, stop := s.run(t, config)
+	t.Cleanup(stop)
+	return m
+}
+
+// run starts a member and returns what ends it.
+func (s secrets) run(t require.TestingT, config memberConfig) (*member, func()) {
 	if config.listen == "" {
 		config.listen = "127.0.0.1:0"
 	}
@@ -111,8 +118,7 @@
 	require.NoError(t, err)
 	m.server.Serve(m.gate)
 	m.Start(context.Background())
-	t.Cleanup(m.kill)
-	return m
+	return m, m.kill
 }
 
 // kill ends the member as a crash does.
