--- a/internal/cluster/beat.go
+++ b/internal/cluster/beat.go
@@ -56,17 +56,17 @@
 }
 
 func (n *Node) sendBeat(held *beat, now model.Instant) {
-	request := n.beatRequest(!held.told)
+	request := n.heartbeatRequest(!held.told)
 	peer := held.peer
 	n.launch(callTimeout, func(ctx context.Context) {
-		reply, err := rpc.Call[beatRequest, beatReply](ctx, n.config.Client, peer.Control, rpc.MethodAnnounce, request)
+		reply, err := rpc.Call[HeartbeatRequest, HeartbeatReply](ctx, n.config.Client, peer.Control, rpc.MethodAnnounce, request)
 		n.post(func() { n.beatEnded(held, request, reply, err, now) })
 	})
 }
 
-func (n *Node) beatRequest(full bool) beatRequest {
+func (n *Node) heartbeatRequest(full bool) HeartbeatRequest {
 	own := n.table.Self()
-	request := beatRequest{
+	request := HeartbeatRequest{
 		Node:        own.Node,
 		Incarnation: own.Incarnation,
 		Version:     own.Version,
@@ -78,7 +78,7 @@
 	return request
 }
 
-func (n *Node) beatEnded(held *beat, request beatRequest, reply beatReply, err error, sent model.Instant) {
+func (n *Node) beatEnded(held *beat, request HeartbeatRequest, reply HeartbeatReply, err error, sent model.Instant) {
 	held.open = false
 	if err != nil {
 		n.log.WithError(err).WithField("peer", held.peer.Node).Debug("event=heartbeat_failed")
@@ -103,32 +103,32 @@
 }
 
 // serveBeat answers a heartbeat.
-func (n *Node) serveBeat(ctx context.Context, _ rpc.Peer, request beatRequest) (reply beatReply, err error) {
+func (n *Node) serveBeat(ctx context.Context, _ rpc.Peer, request HeartbeatRequest) (reply HeartbeatReply, err error) {
 	failed := n.ask(ctx, func() { reply, err = n.heard(request, model.Now()) })
 	if failed != nil {
-		return beatReply{}, failed
+		return HeartbeatReply{}, failed
 	}
 	return reply, err
 }
 
-func (n *Node) heard(request beatRequest, now model.Instant) (beatReply, error) {
+func (n *Node) heard(request HeartbeatRequest, now model.Instant) (HeartbeatReply, error) {
 	if !n.balancer() {
-		return beatReply{}, Error.New("%s is no balancer", n.self)
+		return HeartbeatReply{}, Error.New("%s is no balancer", n.self)
 	}
 	if n.deaf(now) {
-		return beatReply{}, Error.New("%s was stopped for long and takes no records yet", n.self)
+		return HeartbeatReply{}, Error.New("%s was stopped for long and takes no records yet", n.self)
 	}
 	if request.Record != nil {
 		if request.Record.Node != request.Node {
-			return beatReply{}, Error.New("record: of %s in a heartbeat of %s", request.Record.Node, request.Node)
+			return HeartbeatReply{}, Error.New("record: of %s in a heartbeat of %s", request.Record.Node, request.Node)
 		}
 		if err := request.Record.Validate(); err != nil {
-			return beatReply{}, Error.Wrap(err)
+			return HeartbeatReply{}, Error.Wrap(err)
 		}
 		n.merge([]membership.Record{*request.Record}, now)
 	}
 	n.learn(request.Revisions)
-	reply := beatReply{Ping: n.pingReply(now)}
+	reply := HeartbeatReply{Ping: n.pingReply(now)}
 	known, found := n.table.Get(request.Node)
 	if !found {
 		reply.WantRecord = true
@@ -233,15 +233,15 @@
 // contact announces the node at an address and compares views with it.
 func (n *Node) contact(addr netip.AddrPort) {
 	n.busy.join = true
-	request := n.beatRequest(true)
+	request := n.heartbeatRequest(true)
 	sent := model.Now()
 	n.launch(callTimeout, func(ctx context.Context) {
-		reply, err := rpc.Call[beatRequest, beatReply](ctx, n.config.Client, addr, rpc.MethodAnnounce, request)
+		reply, err := rpc.Call[HeartbeatRequest, HeartbeatReply](ctx, n.config.Client, addr, rpc.MethodAnnounce, request)
 		n.post(func() { n.contacted(addr, reply, err, sent) })
 	})
 }
 
-func (n *Node) contacted(addr netip.AddrPort, reply beatReply, err error, sent model.Instant) {
+func (n *Node) contacted(addr netip.AddrPort, reply HeartbeatReply, err error, sent model.Instant) {
 	n.busy.join = false
 	if err != nil {
 		n.log.WithError(err).WithField("peer", addr).Debug("event=contact_failed")
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -202,8 +202,8 @@
 	results := make(chan error, len(peers))
 	for _, peer := range peers {
 		n.running.Go(func() {
-			_, err := rpc.Call[syncRequest, syncReply](ctx, n.config.Client, peer.Control, rpc.MethodSync,
-				syncRequest{Push: []membership.Record{own}})
+			_, err := rpc.Call[SyncRequest, SyncReply](ctx, n.config.Client, peer.Control, rpc.MethodSync,
+				SyncRequest{Push: []membership.Record{own}})
 			results <- err
 		})
 	}
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -58,8 +58,8 @@
 	return membership.Knowledge{Revisions: r.Revisions, Confirmed: r.Confirmed}
 }
 
-// beatRequest is the request of rpc.MethodAnnounce: a heartbeat.
-type beatRequest struct {
+// HeartbeatRequest is the request of rpc.MethodAnnounce: a heartbeat.
+type HeartbeatRequest struct {
 	Node        model.NodeID
 	Incarnation uint64
 	Version     uint64
@@ -68,7 +68,8 @@
 	Record *membership.Record
 }
 
-type beatReply struct {
+// HeartbeatReply answers a heartbeat.
+type HeartbeatReply struct {
 	Ping PingReply
 	// Digest is over the records that the caller needs.
 	Digest uint64
@@ -78,8 +79,8 @@
 	Claim *membership.Record
 }
 
-// syncRequest is the request of rpc.MethodSync. Each part may be empty.
-type syncRequest struct {
+// SyncRequest is the request of rpc.MethodSync. Every part may be empty.
+type SyncRequest struct {
 	Service model.Service
 	// Buckets asks for the stamps of the buckets that differ.
 	Buckets []uint32
@@ -89,7 +90,8 @@
 	Want []model.NodeID
 }
 
-type syncReply struct {
+// SyncReply answers a SyncRequest.
+type SyncReply struct {
 	Differ  []uint8
 	Stamps  []membership.Stamp
 	Records []membership.Record
--- a/internal/cluster/sync.go
+++ b/internal/cluster/sync.go
@@ -47,8 +47,8 @@
 func (n *Node) push(addr netip.AddrPort, records []membership.Record) {
 	n.busy.pushes++
 	n.launch(callTimeout, func(ctx context.Context) {
-		request := syncRequest{Push: records}
-		_, err := rpc.Call[syncRequest, syncReply](ctx, n.config.Client, addr, rpc.MethodSync, request)
+		request := SyncRequest{Push: records}
+		_, err := rpc.Call[SyncRequest, SyncReply](ctx, n.config.Client, addr, rpc.MethodSync, request)
 		n.post(func() {
 			n.busy.pushes--
 			if err == nil {
@@ -65,7 +65,7 @@
 		return
 	}
 	n.busy.sync = true
-	request := syncRequest{Service: n.scope.Service, Buckets: n.table.Buckets(n.scope)}
+	request := SyncRequest{Service: n.scope.Service, Buckets: n.table.Buckets(n.scope)}
 	n.launch(syncTimeout, func(ctx context.Context) {
 		err := n.runSync(ctx, addr, request)
 		n.post(func() { n.syncEnded(addr, err) })
@@ -83,12 +83,12 @@
 	}
 }
 
-func (n *Node) runSync(ctx context.Context, addr netip.AddrPort, request syncRequest) error {
-	reply, err := rpc.Call[syncRequest, syncReply](ctx, n.config.Client, addr, rpc.MethodSync, request)
+func (n *Node) runSync(ctx context.Context, addr netip.AddrPort, request SyncRequest) error {
+	reply, err := rpc.Call[SyncRequest, SyncReply](ctx, n.config.Client, addr, rpc.MethodSync, request)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	var exchange syncRequest
+	var exchange SyncRequest
 	err = n.ask(ctx, func() {
 		exchange.Push, exchange.Want = n.table.Compare(n.scope, reply.Differ, reply.Stamps)
 		n.mergeClaims(reply.Stamps)
@@ -96,7 +96,7 @@
 	if err != nil || len(exchange.Push)+len(exchange.Want) == 0 {
 		return err
 	}
-	reply, err = rpc.Call[syncRequest, syncReply](ctx, n.config.Client, addr, rpc.MethodSync, exchange)
+	reply, err = rpc.Call[SyncRequest, SyncReply](ctx, n.config.Client, addr, rpc.MethodSync, exchange)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -116,19 +116,19 @@
 }
 
 // serveSync answers a comparison and takes pushed records.
-func (n *Node) serveSync(ctx context.Context, _ rpc.Peer, request syncRequest) (reply syncReply, err error) {
+func (n *Node) serveSync(ctx context.Context, _ rpc.Peer, request SyncRequest) (reply SyncReply, err error) {
 	if !n.balancer() {
 		return reply, Error.New("%s is no balancer", n.self)
 	}
 	failed := n.ask(ctx, func() { reply, err = n.answerSync(request) })
 	if failed != nil {
-		return syncReply{}, failed
+		return SyncReply{}, failed
 	}
 	return reply, err
 }
 
-func (n *Node) answerSync(request syncRequest) (syncReply, error) {
-	var reply syncReply
+func (n *Node) answerSync(request SyncRequest) (SyncReply, error) {
+	var reply SyncReply
 	now := model.Now()
 	scope := membership.Scope{Service: request.Service}
 	n.watch.Contact(now)
@@ -139,7 +139,7 @@
 	if len(request.Buckets) > 0 {
 		differ, err := n.table.Differing(scope, request.Buckets)
 		if err != nil {
-			return syncReply{}, Error.Wrap(err)
+			return SyncReply{}, Error.Wrap(err)
 		}
 		reply.Differ = differ
 		reply.Stamps = n.table.Stamps(scope, differ)
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -13,12 +13,12 @@
 	// silenceLimit is the silence after which a watcher asks around.
 	silenceLimit = 1800 * time.Millisecond
 	// VouchLimit is the age up to which a heartbeat speaks for a node.
-	VouchLimit = 1500 * time.Millisecond
+	VouchLimit = 1200 * time.Millisecond
 	// assignGrace is the time a node gets to find a new watcher.
 	assignGrace = 4 * time.Second
 	// retryInterval is the time until a node that others vouch for is looked at
 	// again.
-	retryInterval = time.Second
+	retryInterval = 300 * time.Millisecond
 	// pauseLimit is the time between two ticks from which on this process must
 	// have been stopped, so that silence says nothing.
 	pauseLimit = time.Second
