Take a zone out in three rounds of the platform

A platform that is up but slow holds up the operator who must take a zone out at short notice. zone out made 7 reads and 2 writes one after the other, and the seeds heard of it only after the audit write.

A change of one document now reads only that document, at once with the end of the trail; the trail remembers its newest segment and writes on it without reading it again, since the write expects that segment's version; and the seeds are offered the document as soon as it is accepted.

Ruled out: reading the segment beside its hint (a guess of its number is wrong after each rotation). A document that was read after the trail may name a newer entry; the append then conflicts on the segment's version, so that no false gap gets into the chain.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -89,11 +89,15 @@
 				revision++
 			}
 		}
+		// This process keeps its trail while the others go on.
+		steady := testTrail(store.View(calm))
+		_, err := steady.Append(context.Background(), record("first", Refused, 0), plan.AuditHead{})
+		require.NoError(t, err)
 		for range rapid.IntRange(1, 20).Draw(t, "changes") {
 			appendOne(0)
 		}
 		store.Flush()
-		_, err := testTrail(store.View(calm)).Append(context.Background(), record("last", Refused, 0), plan.AuditHead{})
+		_, err = steady.Append(context.Background(), record("last", Refused, 0), plan.AuditHead{})
 		require.NoError(t, err)
 		segments := walk(t, testTrail(store.View(calm)))
 		require.Empty(t, chainFaults(segments))
--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 
 	"github.com/balsamlink/balsamlink/internal/model"
 	"github.com/balsamlink/balsamlink/internal/plan"
@@ -25,6 +26,11 @@
 	store platform.Store
 	// segmentSize is the size from which a segment is sealed, in bytes.
 	segmentSize int
+
+	mu sync.Mutex
+	// seen is the newest segment as it was last read or written. A write that
+	// expects its version fails when the segment has changed or was sealed.
+	seen *stored
 }
 
 // NewTrail returns the trail of a deployment.
@@ -47,7 +53,7 @@
 
 func segmentKey(number uint64) string { return fmt.Sprintf("%ssegments/%08d", keyPrefix, number) }
 
-// End returns the state at the end of the trail.
+// End reads the state at the end of the trail.
 func (t *Trail) End(ctx context.Context) (Base, error) {
 	newest, err := t.newest(ctx)
 	return newest.segment.End(), err
@@ -63,7 +69,7 @@
 	var first uint64
 	var last error
 	for range maxAppendAttempts {
-		newest, err := t.newest(ctx)
+		newest, err := t.lastSeen(ctx)
 		if err != nil {
 			return Base{}, err
 		}
@@ -78,6 +84,7 @@
 		if done {
 			return end, nil
 		}
+		t.remember(nil)
 		if err != nil && !repeatable(err) {
 			return Base{}, Error.Wrap(err)
 		}
@@ -136,13 +143,45 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	_, err = t.store.Put(ctx, platform.Write{Key: segmentKey(segment.Number), Value: body, Expect: expect})
+	version, err := t.store.Put(ctx, platform.Write{Key: segmentKey(segment.Number), Value: body, Expect: expect})
+	if err == nil {
+		t.remember(&stored{segment: segment, version: version, size: len(body)})
+	}
 	return err
 }
 
-// newest returns the segment that takes the next entry. A sealed or damaged
-// segment without a successor has an empty one, which is not stored yet.
+// lastSeen returns the newest segment without reading it where it can.
+func (t *Trail) lastSeen(ctx context.Context) (stored, error) {
+	t.mu.Lock()
+	seen := t.seen
+	t.mu.Unlock()
+	if seen != nil {
+		return *seen, nil
+	}
+	return t.newest(ctx)
+}
+
+func (t *Trail) remember(newest *stored) {
+	t.mu.Lock()
+	t.seen = newest
+	t.mu.Unlock()
+}
+
+// newest reads the segment that takes the next entry, and remembers it.
 func (t *Trail) newest(ctx context.Context) (stored, error) {
+	newest, err := t.findNewest(ctx)
+	if err != nil {
+		t.remember(nil)
+		return stored{}, err
+	}
+	t.remember(&newest)
+	return newest, nil
+}
+
+// findNewest follows the segments to the one that takes the next entry. A sealed
+// or damaged segment without a successor has an empty one, which is not stored
+// yet.
+func (t *Trail) findNewest(ctx context.Context) (stored, error) {
 	hinted := t.hinted(ctx)
 	current, err := t.read(ctx, hinted)
 	if errors.Is(err, platform.ErrNotFound) && hinted > 1 {
@@ -160,7 +199,7 @@
 		}
 	}
 	if err == nil && current.segment.Number != hinted {
-		t.remember(ctx, current.segment.Number)
+		t.writeHint(ctx, current.segment.Number)
 	}
 	return current, err
 }
@@ -191,7 +230,7 @@
 	return max(newest.Segment, 1)
 }
 
-func (t *Trail) remember(ctx context.Context, number uint64) {
+func (t *Trail) writeHint(ctx context.Context, number uint64) {
 	var expect platform.Version
 	if entry, err := t.store.Get(ctx, keyNewest); err == nil {
 		expect = entry.Version
--- a/internal/operator/ctl/change.go
+++ b/internal/operator/ctl/change.go
@@ -44,9 +44,25 @@
 	if err != nil {
 		return kernel.Usage(err)
 	}
-	fleet := s.fleet(ctx)
-	results, err := s.editor().Apply(ctx, contentsOf(files), conditions)
-	return a.finish(ctx, command, fleet, results, err)
+	desk := s.desk(ctx)
+	results, err := desk.editor.Apply(ctx, contentsOf(files), conditions)
+	return a.finish(ctx, command, desk, results, err)
+}
+
+// desk makes changes and spreads the accepted ones at once.
+type desk struct {
+	editor *operator.Editor
+	fleet  *operator.Fleet
+	spread []operator.Spread
+}
+
+// desk finds the seeds before any change, for the platform may fail after it.
+func (s *session) desk(ctx context.Context) *desk {
+	d := &desk{editor: operator.NewEditor(s.store, s.settings.Author), fleet: s.fleet(ctx)}
+	d.editor.OnAccepted = func(result operator.Result) {
+		d.spread = append(d.spread, d.fleet.Offer(ctx, result)...)
+	}
+	return d
 }
 
 func conditionsOf(command *cli.Command, files []file) (operator.Conditions, error) {
@@ -71,18 +87,18 @@
 	return conditions, nil
 }
 
-// finish spreads what was accepted, waits if asked to, and prints it, also when
-// a later document failed.
+// finish waits if asked to and prints what was accepted, also when a later
+// document failed.
 func (a *app) finish(
-	ctx context.Context, command *cli.Command, fleet *operator.Fleet, results []operator.Result, failed error,
+	ctx context.Context, command *cli.Command, desk *desk, results []operator.Result, failed error,
 ) error {
 	if len(results) == 0 {
 		return failed
 	}
-	shown := changed{Documents: results, Seeds: fleet.Offer(ctx, results)}
+	shown := changed{Documents: results, Seeds: append([]operator.Spread{}, desk.spread...)}
 	var waited error
 	if limit := command.Duration("wait"); limit > 0 {
-		shown.InForce, waited = wait(ctx, fleet, results, limit)
+		shown.InForce, waited = wait(ctx, desk.fleet, results, limit)
 	}
 	err := a.print(command, shown, func(w io.Writer) { printChanged(w, shown) })
 	return errors.Join(failed, waited, err)
@@ -103,7 +119,7 @@
 	}
 	for _, seed := range shown.Seeds {
 		if seed.Error != "" {
-			fmt.Fprintf(w, "seed %s did not take it at once: %s\n", seed.Seed, seed.Error)
+			fmt.Fprintf(w, "seed %s did not take %s at once: %s\n", seed.Seed, seed.Document, seed.Error)
 		}
 	}
 	if shown.InForce != nil {
@@ -172,12 +188,12 @@
 			if command.Args().Len() != 1 {
 				return kernel.Usage(fmt.Errorf("one %s is needed", argument))
 			}
-			fleet := s.fleet(ctx)
-			result, err := set(ctx, s.editor(), command.Args().First(), out)
+			desk := s.desk(ctx)
+			result, err := set(ctx, desk.editor, command.Args().First(), out)
 			if err != nil {
 				return err
 			}
-			return a.finish(ctx, command, fleet, []operator.Result{result}, nil)
+			return a.finish(ctx, command, desk, []operator.Result{result}, nil)
 		})
 	}
 	group := verb(name, "take out of service or return: "+thing, "", needOutOrReturn)
--- a/internal/operator/ctl/session.go
+++ b/internal/operator/ctl/session.go
@@ -97,10 +97,6 @@
 	return s.module.Stop()
 }
 
-func (s *session) editor() *operator.Editor {
-	return operator.NewEditor(s.store, s.settings.Author)
-}
-
 func (s *session) fleet(ctx context.Context) *operator.Fleet {
 	return operator.NewFleet(ctx, s.store, s.client, s.settings.Seeds)
 }
--- a/internal/operator/editor.go
+++ b/internal/operator/editor.go
@@ -28,13 +28,18 @@
 	now    func() time.Time
 	newID  func() string
 	pause  func(ctx context.Context, attempt int) error
+	run    func(tasks []func())
+
+	// OnAccepted is called with each accepted change at once, before the audit
+	// trail is written. It may be nil.
+	OnAccepted func(Result)
 }
 
 // NewEditor returns an editor whose changes carry the author's name.
 func NewEditor(store platform.Store, author string) *Editor {
 	return &Editor{
 		store: store, trail: audit.NewTrail(store), author: author,
-		now: time.Now, newID: uuid.NewString, pause: pauseBetween,
+		now: time.Now, newID: uuid.NewString, pause: pauseBetween, run: runAtOnce,
 	}
 }
 
@@ -69,7 +74,7 @@
 // accepted. Several documents are written one after the other: an error tells
 // what became of the last, and the results what came before.
 func (e *Editor) Apply(ctx context.Context, contents []plan.Content, conditions Conditions) ([]Result, error) {
-	state, err := readState(ctx, e.store, e.trail)
+	state, err := e.readState(ctx, model.DocumentCustomers, model.DocumentPlans, model.DocumentOut)
 	if err != nil {
 		return nil, err
 	}
@@ -176,7 +181,7 @@
 ) (Result, error) {
 	var last error
 	for attempt := range maxMergeAttempts {
-		state, err := readState(ctx, e.store, e.trail)
+		state, err := e.readState(ctx, kind)
 		if err != nil {
 			return Result{}, err
 		}
@@ -229,6 +234,9 @@
 	state.Held[held.Kind] = Held{
 		Kind: held.Kind, Document: p.document, Revision: header.Revision, version: version, body: p.body,
 	}
+	if e.OnAccepted != nil {
+		e.OnAccepted(result)
+	}
 	if err := completeTrail(ctx, e.trail, state); err != nil {
 		result.Unrecorded = err.Error()
 	}
--- a/internal/operator/editor_test.go
+++ b/internal/operator/editor_test.go
@@ -32,6 +32,11 @@
 	editor.now = func() time.Time { return someTime }
 	editor.newID = newID
 	editor.pause = func(context.Context, int) error { return nil }
+	editor.run = func(tasks []func()) {
+		for _, task := range tasks {
+			task()
+		}
+	}
 	return editor
 }
 
@@ -159,7 +164,9 @@
 		w.store.Flush()
 		final := calmEditor(&w.store)
 		// The first command after a death completes the trail.
-		state, err := readState(ctx, w.store.View(calm), final.trail)
+		_, err := final.readState(ctx, model.DocumentCustomers, model.DocumentPlans, model.DocumentOut)
+		require.NoError(t, err)
+		state, err := ReadDocuments(ctx, w.store.View(calm))
 		require.NoError(t, err)
 		accepted := w.acceptedEntries(state)
 		w.checkTold(accepted)
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -46,36 +46,28 @@
 	return fleet
 }
 
-// Spread tells what a seed said to the accepted documents.
+// Spread tells what a seed said to an accepted document.
 type Spread struct {
-	Seed  netip.AddrPort `json:"seed"`
-	Error string         `json:"error,omitempty"`
+	Document string         `json:"document"`
+	Seed     netip.AddrPort `json:"seed"`
+	Error    string         `json:"error,omitempty"`
 }
 
-// Offer brings accepted documents to all seeds, so that they are in force even
-// when the platform fails right after it accepted them.
-func (f *Fleet) Offer(ctx context.Context, results []Result) []Spread {
+// Offer brings an accepted document to all seeds, so that it is in force even
+// when the platform fails right after it accepted it.
+func (f *Fleet) Offer(ctx context.Context, result Result) []Spread {
 	spreads := make([]Spread, len(f.seeds))
+	document := cluster.Document{Kind: result.kind, Revision: result.Revision, Body: result.body}
 	each(len(f.seeds), func(i int) {
-		spreads[i].Seed = f.seeds[i]
-		for _, result := range results {
-			if err := f.offer(ctx, f.seeds[i], result); err != nil {
-				spreads[i].Error = err.Error()
-			}
+		spreads[i] = Spread{Document: result.Document, Seed: f.seeds[i]}
+		_, err := call[cluster.Document, cluster.OfferReply](ctx, f.client, f.seeds[i], rpc.MethodOffer, document)
+		if err != nil {
+			spreads[i].Error = err.Error()
 		}
 	})
 	return spreads
 }
 
-func (f *Fleet) offer(ctx context.Context, seed netip.AddrPort, result Result) error {
-	if !result.Changed {
-		return nil
-	}
-	document := cluster.Document{Kind: result.kind, Revision: result.Revision, Body: result.body}
-	_, err := call[cluster.Document, cluster.OfferReply](ctx, f.client, seed, rpc.MethodOffer, document)
-	return err
-}
-
 // NodeStatus is the report of one node, or why there is none.
 type NodeStatus struct {
 	Member status.Member
--- a/internal/operator/state.go
+++ b/internal/operator/state.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 
 	"github.com/zeebo/errs"
 
@@ -123,16 +124,30 @@
 	return state, nil
 }
 
-// readState reads all documents and completes the audit trail.
-func readState(ctx context.Context, store platform.Store, trail *audit.Trail) (State, error) {
-	state, err := ReadDocuments(ctx, store)
-	if err != nil {
-		return State{}, err
+// readState reads documents and the end of the trail, all at once since the
+// platform may be slow, and completes the trail. Kinds that are not asked for
+// stay empty.
+func (e *Editor) readState(ctx context.Context, kinds ...model.DocumentKind) (State, error) {
+	state := State{}
+	faults := make([]error, len(kinds)+1)
+	tasks := []func(){func() { state.Trail, faults[len(kinds)] = e.trail.End(ctx) }}
+	for i, kind := range kinds {
+		tasks = append(tasks, func() { state.Held[kind], faults[i] = readHeld(ctx, e.store, kind) })
 	}
-	if state.Trail, err = trail.End(ctx); err != nil {
+	e.run(tasks)
+	if err := errors.Join(faults...); err != nil {
 		return State{}, Error.Wrap(err)
 	}
-	return state, completeTrail(ctx, trail, &state)
+	return state, completeTrail(ctx, e.trail, &state)
+}
+
+// runAtOnce runs all tasks at once and waits for them.
+func runAtOnce(tasks []func()) {
+	var running sync.WaitGroup
+	for _, task := range tasks {
+		running.Go(task)
+	}
+	running.Wait()
 }
 
 // completeTrail appends the newest entry of each document whose writer died, or
--- a/internal/standin/memstore/memstore.go
+++ b/internal/standin/memstore/memstore.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/balsamlink/balsamlink/internal/platform"
 )
@@ -80,15 +81,17 @@
 	platform.Store
 	store *Store
 	fault func(call string) Fault
-	dead  bool
+	dead  atomic.Bool
 }
 
 func (v *View) next(call string) Fault {
-	if v.dead {
+	if v.dead.Load() {
 		return Unavailable
 	}
 	fault := v.fault(call)
-	v.dead = v.dead || fault == Death
+	if fault == Death {
+		v.dead.Store(true)
+	}
 	return fault
 }
 
