Tell operators of customers without a plan and of unknown names

The two lists have keys of their own, so one operator can remove the plan that another one moves a customer to; such a customer gets nothing. balsamctl now reads both lists after a change and warns. zone out and target out warn when no known node bears the name, since a mistyped zone would stay in service unseen.

Ruled out: refusing unknown names (a zone must be taken out while no seed answers, and before its nodes start).

--- a/internal/operator/ctl/change.go
+++ b/internal/operator/ctl/change.go
@@ -22,6 +22,7 @@
 	Documents []operator.Result `json:"documents"`
 	Seeds     []operator.Spread `json:"seeds"`
 	InForce   *operator.InForce `json:"in_force,omitempty"`
+	Warnings  []string          `json:"warnings"`
 }
 
 var waitFlag = &cli.DurationFlag{
@@ -46,6 +47,9 @@
 	}
 	desk := s.desk(ctx)
 	results, err := desk.editor.Apply(ctx, contentsOf(files), conditions)
+	if dangling := operator.Dangling(ctx, s.store); dangling != nil && len(results) > 0 {
+		desk.warnings = append(desk.warnings, "customers without a plan get nothing: "+dangling.Error())
+	}
 	return a.finish(ctx, command, desk, results, err)
 }
 
@@ -54,11 +58,13 @@
 	editor *operator.Editor
 	fleet  *operator.Fleet
 	spread []operator.Spread
+	// warnings are told beside what was accepted.
+	warnings []string
 }
 
 // desk finds the seeds before any change, for the platform may fail after it.
 func (s *session) desk(ctx context.Context) *desk {
-	d := &desk{editor: operator.NewEditor(s.store, s.settings.Author), fleet: s.fleet(ctx)}
+	d := &desk{warnings: []string{}, editor: operator.NewEditor(s.store, s.settings.Author), fleet: s.fleet(ctx)}
 	d.editor.OnAccepted = func(result operator.Result) {
 		d.spread = append(d.spread, d.fleet.Offer(ctx, result)...)
 	}
@@ -95,7 +101,7 @@
 	if len(results) == 0 {
 		return failed
 	}
-	shown := changed{Documents: results, Seeds: append([]operator.Spread{}, desk.spread...)}
+	shown := changed{Documents: results, Seeds: append([]operator.Spread{}, desk.spread...), Warnings: desk.warnings}
 	var waited error
 	if limit := command.Duration("wait"); limit > 0 {
 		shown.InForce, waited = wait(ctx, desk.fleet, results, limit)
@@ -122,6 +128,9 @@
 			fmt.Fprintf(w, "seed %s did not take %s at once: %s\n", seed.Seed, seed.Document, seed.Error)
 		}
 	}
+	for _, warning := range shown.Warnings {
+		fmt.Fprintf(w, "WARNING: %s\n", warning)
+	}
 	if shown.InForce != nil {
 		behind := len(shown.InForce.Behind)
 		fmt.Fprintf(w, "in force at %d of %d nodes after %d ms\n", shown.InForce.Nodes-behind, shown.InForce.Nodes, shown.InForce.Millis)
@@ -163,43 +172,66 @@
 	})
 }
 
+// thing is what can be taken out of service.
+type thing struct {
+	verb     string
+	name     string
+	argument string
+	set      func(ctx context.Context, e *operator.Editor, name string, out bool) (operator.Result, error)
+	known    func(ctx context.Context, f *operator.Fleet, name string) bool
+}
+
 func (a *app) zone() *cli.Command {
-	return a.outVerbs("zone", "availability zone", "ZONE", func(ctx context.Context, e *operator.Editor, name string, out bool) (operator.Result, error) {
-		return e.SetZone(ctx, model.Zone(name), out)
+	return a.outVerbs(thing{
+		verb: "zone", name: "availability zone", argument: "ZONE",
+		set: func(ctx context.Context, e *operator.Editor, name string, out bool) (operator.Result, error) {
+			return e.SetZone(ctx, model.Zone(name), out)
+		},
+		known: func(ctx context.Context, f *operator.Fleet, name string) bool {
+			return f.Knows(ctx, model.Zone(name), "")
+		},
 	})
 }
 
 func (a *app) target() *cli.Command {
-	return a.outVerbs("target", "target", "NODE", func(ctx context.Context, e *operator.Editor, name string, out bool) (operator.Result, error) {
-		return e.SetTarget(ctx, model.NodeID(name), out)
+	return a.outVerbs(thing{
+		verb: "target", name: "target", argument: "NODE",
+		set: func(ctx context.Context, e *operator.Editor, name string, out bool) (operator.Result, error) {
+			return e.SetTarget(ctx, model.NodeID(name), out)
+		},
+		known: func(ctx context.Context, f *operator.Fleet, name string) bool {
+			return f.Knows(ctx, "", model.NodeID(name))
+		},
 	})
 }
 
+func (a *app) outVerbs(t thing) *cli.Command {
+	group := verb(t.verb, "take out of service or return: "+t.name, "", needOutOrReturn)
+	group.Commands = []*cli.Command{
+		verb("out", "take it out of service", t.argument, a.setOut(t, true), waitFlag),
+		verb("return", "return it to service", t.argument, a.setOut(t, false), waitFlag),
+	}
+	return group
+}
+
 func needOutOrReturn(context.Context, *cli.Command) error {
 	return kernel.Usage(errors.New("out or return is needed"))
 }
 
-// setOut takes something out of service or returns it.
-type setOut func(ctx context.Context, e *operator.Editor, name string, out bool) (operator.Result, error)
-
-func (a *app) outVerbs(name, thing, argument string, set setOut) *cli.Command {
-	run := func(out bool) cli.ActionFunc {
-		return within(func(ctx context.Context, command *cli.Command, s *session) error {
-			if command.Args().Len() != 1 {
-				return kernel.Usage(fmt.Errorf("one %s is needed", argument))
-			}
-			desk := s.desk(ctx)
-			result, err := set(ctx, desk.editor, command.Args().First(), out)
-			if err != nil {
-				return err
-			}
-			return a.finish(ctx, command, desk, []operator.Result{result}, nil)
-		})
-	}
-	group := verb(name, "take out of service or return: "+thing, "", needOutOrReturn)
-	group.Commands = []*cli.Command{
-		verb("out", "take it out of service", argument, run(true), waitFlag),
-		verb("return", "return it to service", argument, run(false), waitFlag),
-	}
-	return group
+func (a *app) setOut(t thing, out bool) cli.ActionFunc {
+	return within(func(ctx context.Context, command *cli.Command, s *session) error {
+		if command.Args().Len() != 1 {
+			return kernel.Usage(fmt.Errorf("one %s is needed", t.argument))
+		}
+		name := command.Args().First()
+		desk := s.desk(ctx)
+		result, err := t.set(ctx, desk.editor, name, out)
+		if err != nil {
+			return err
+		}
+		if out && !t.known(ctx, desk.fleet, name) {
+			desk.warnings = append(desk.warnings, fmt.Sprintf("no node is known of %s %q; check its name", t.name, name))
+		}
+		return a.finish(ctx, command, desk, []operator.Result{result}, nil)
+	})
 }
--- a/internal/operator/ctl/ctl_test.go
+++ b/internal/operator/ctl/ctl_test.go
@@ -145,8 +145,10 @@
 	again := b.write("again.json", b.run(kernel.ExitOK, "show", "plans"))
 	require.Contains(t, b.run(kernel.ExitOK, "diff", again), "0 differences")
 
-	require.Contains(t, b.run(kernel.ExitOK, "zone", "out", "gauteng-a", "--wait", "10s"), "zone gauteng-a: taken out of service")
-	require.Contains(t, b.run(kernel.ExitOK, "target", "out", "agent-3"), "accepted as revision 2")
+	require.Contains(t, b.run(kernel.ExitOK, "zone", "out", "gauteng-a", "--wait", "10s"), "zone gauteng-a: taken out of service\nin force at 1 of 1 nodes")
+	out := b.run(kernel.ExitOK, "target", "out", "agent-3")
+	require.Contains(t, out, "accepted as revision 2")
+	require.Contains(t, out, `no node is known of target "agent-3"`)
 	require.Contains(t, b.run(kernel.ExitOK, "show", "out"), "agent-3")
 	nodes := decoded[map[string][]seenNode](t, b.run(kernel.ExitOK, "status", "--json"))["nodes"]
 	require.Equal(t, &inForce{Customers: 1, Plans: 1, Out: 2}, nodes[0].InForce)
--- a/internal/operator/editor_test.go
+++ b/internal/operator/editor_test.go
@@ -317,6 +317,28 @@
 	require.Equal(t, ReasonRevision, refusal.Reason)
 }
 
+// Each list has a key of its own, so one operator can remove the plan that
+// another one moves a customer to. Then the later of them is told.
+func TestCustomerOnAMissingPlanIsTold(t *testing.T) {
+	var store memstore.Store
+	first := calmEditor(&store)
+	_, err := first.Apply(ctx, []plan.Content{customers("p"), plans(5, "p", "q")}, Conditions{})
+	require.NoError(t, err)
+	require.NoError(t, Dangling(ctx, store.View(calm)))
+	raced := false
+	second := testEditor(store.View(func(call string) memstore.Fault {
+		if call == "put" && !raced {
+			raced = true
+			_, err := first.Apply(ctx, []plan.Content{plans(5, "p")}, Conditions{})
+			require.NoError(t, err)
+		}
+		return memstore.None
+	}), func() string { return "second" })
+	_, err = second.Apply(ctx, []plan.Content{customers("q")}, Conditions{})
+	require.NoError(t, err)
+	require.ErrorContains(t, Dangling(ctx, store.View(calm)), `customers[0].plan: "q"`)
+}
+
 func TestCutBelowUseNeedsConfirmation(t *testing.T) {
 	var store memstore.Store
 	editor := calmEditor(&store)
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -112,6 +112,16 @@
 	return nil, Error.New("no seed answers: %w", last)
 }
 
+// Knows reports whether a seed knows a node of the zone, or of the name; false
+// also when no seed answers.
+func (f *Fleet) Knows(ctx context.Context, zone model.Zone, node model.NodeID) bool {
+	members, err := f.members(ctx)
+	if err != nil {
+		return false
+	}
+	return slices.ContainsFunc(members, func(m status.Member) bool { return m.Zone == zone || m.Node == node })
+}
+
 // InForce tells at how many nodes the wanted revisions are in force.
 type InForce struct {
 	Nodes int `json:"nodes"`
--- a/internal/operator/look.go
+++ b/internal/operator/look.go
@@ -81,6 +81,18 @@
 	return report, nil
 }
 
+// Dangling reads the lists and tells which customers are on a missing plan, as
+// can happen when two operators each change one list. Such customers have no
+// allowance. It returns nil when all is well or nothing can be read.
+func Dangling(ctx context.Context, store platform.Store) error {
+	state, err := ReadDocuments(ctx, store)
+	if err != nil {
+		return nil
+	}
+	lists := state.Lists()
+	return plan.CheckReferences(lists.Customers, lists.Plans)
+}
+
 // Forecast works out next month's bills from the lists in force and the
 // metering totals.
 func Forecast(ctx context.Context, store platform.Store, now time.Time) (billing.Forecast, error) {
