--- a/internal/operator/ctl/change.go
+++ b/internal/operator/ctl/change.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/balsamlink/balsamlink/internal/model"
 	"github.com/balsamlink/balsamlink/internal/operator"
 	"github.com/balsamlink/balsamlink/internal/plan"
+	"github.com/balsamlink/balsamlink/internal/platform"
 )
 
 // changed is what the verbs that change a document print.
@@ -25,15 +27,40 @@
 	Warnings  []string          `json:"warnings"`
 }
 
-var waitFlag = &cli.DurationFlag{
-	Name: "wait", Usage: "wait `TIME` until all nodes have the change in force, as in 10s",
+// retryInterval is the pause between two tries while the platform is silent.
+const retryInterval = 500 * time.Millisecond
+
+// changeFlags returns the flags of every verb that changes a document.
+func changeFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.DurationFlag{Name: "wait", Usage: "wait `TIME` until all nodes have the change in force, as in 10s"},
+		&cli.DurationFlag{Name: "retry", Usage: "keep trying for `TIME` while the platform does not answer"},
+	}
+}
+
+// retry tries a change again while the platform does not answer, for as long as
+// the command line allows. What was accepted in an earlier try changes nothing
+// in a later one.
+func retry(ctx context.Context, command *cli.Command, change func() error) error {
+	deadline := time.Now().Add(command.Duration("retry"))
+	for {
+		err := change()
+		silent := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, operator.ErrOutcomeUnknown)
+		if !silent || time.Now().Add(retryInterval).After(deadline) {
+			return err
+		}
+		select {
+		case <-time.After(retryInterval):
+		case <-ctx.Done():
+			return err
+		}
+	}
 }
 
 func (a *app) apply() *cli.Command {
-	return verb("apply", "make the lists of the files the current ones", "FILE...", within(a.runApply),
+	return verb("apply", "make the lists of the files the current ones", "FILE...", within(a.runApply), append(changeFlags(),
 		&cli.StringSliceFlag{Name: "if-revision", Usage: "refuse unless `[LIST=]N` is in force, as in 7 or plans=7"},
-		&cli.BoolFlag{Name: "confirm-cut", Usage: "cut customers below what they have used this month"},
-		waitFlag)
+		&cli.BoolFlag{Name: "confirm-cut", Usage: "cut customers below what they have used this month"})...)
 }
 
 func (a *app) runApply(ctx context.Context, command *cli.Command, s *session) error {
@@ -46,7 +73,13 @@
 		return kernel.Usage(err)
 	}
 	desk := s.desk(ctx)
-	results, err := desk.editor.Apply(ctx, contentsOf(files), conditions)
+	var results []operator.Result
+	err = retry(ctx, command, func() error {
+		tried, err := desk.editor.Apply(ctx, contentsOf(files), conditions)
+		results = slices.DeleteFunc(results, func(r operator.Result) bool { return !r.Changed })
+		results = append(results, tried...)
+		return err
+	})
 	if dangling := operator.Dangling(ctx, s.store); dangling != nil && len(results) > 0 {
 		desk.warnings = append(desk.warnings, "customers without a plan get nothing: "+dangling.Error())
 	}
@@ -208,8 +241,8 @@
 func (a *app) outVerbs(t thing) *cli.Command {
 	group := verb(t.verb, "take out of service or return: "+t.name, "", needOutOrReturn)
 	group.Commands = []*cli.Command{
-		verb("out", "take it out of service", t.argument, a.setOut(t, true), waitFlag),
-		verb("return", "return it to service", t.argument, a.setOut(t, false), waitFlag),
+		verb("out", "take it out of service", t.argument, a.setOut(t, true), changeFlags()...),
+		verb("return", "return it to service", t.argument, a.setOut(t, false), changeFlags()...),
 	}
 	return group
 }
@@ -225,7 +258,11 @@
 		}
 		name := command.Args().First()
 		desk := s.desk(ctx)
-		result, err := t.set(ctx, desk.editor, name, out)
+		var result operator.Result
+		err := retry(ctx, command, func() (err error) {
+			result, err = t.set(ctx, desk.editor, name, out)
+			return err
+		})
 		if err != nil {
 			return err
 		}
--- a/internal/operator/ctl/session.go
+++ b/internal/operator/ctl/session.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &session{settings: read, store: store, module: module, client: rpc.NewClient(ring.ClientTLS())}
+	s := &session{settings: read, store: operator.Patient(store), module: module, client: rpc.NewClient(ring.ClientTLS())}
 	if err := provision(module, read.Platform.Settings); err != nil {
 		return nil, errors.Join(err, s.close())
 	}
@@ -86,7 +86,8 @@
 func provision(module kernel.Module, settings json.RawMessage) error {
 	log := logrus.New()
 	log.SetLevel(logrus.WarnLevel)
-	if err := module.Provision(kernel.Env{Log: logrus.NewEntry(log)}, settings); err != nil {
+	env := kernel.Env{Log: logrus.NewEntry(log), Path: "platform.settings", Fail: func(error) {}}
+	if err := module.Provision(env, settings); err != nil {
 		return err
 	}
 	return module.Validate()
--- a/internal/operator/editor.go
+++ b/internal/operator/editor.go
@@ -122,11 +122,15 @@
 	return wanted
 }
 
-// judge returns why a change is refused, or nil. Failures of the platform refuse
+// judge returns why a change is refused, or nil. What is in force already is
+// never refused, so that a command may be given again. Failures of the platform refuse
 // a change too, as it can't be judged without it.
 func (e *Editor) judge(
 	ctx context.Context, state State, contents, steps []plan.Content, conditions Conditions,
 ) error {
+	if len(steps) == 0 {
+		return nil
+	}
 	for _, content := range contents {
 		held := state.Held[content.Kind()]
 		want, asked := conditions.IfRevision[content.Kind()]
