Bound the header of a document and forecast from files

A list near its limit with long names could make a document that the platform refuses, found only when applying. The lines of changes are now bounded to 16 KB together, lint checks the size of the normalized form, and a list of 896 KB fits with any header. Finance can see the bills of files before they are applied, also without a network.

--- a/internal/audit/entry.go
+++ b/internal/audit/entry.go
@@ -29,10 +29,14 @@
 	Refused  Outcome = "refused"
 )
 
-// The limits of one record, in bytes and lines.
+// The limits of one record. JSON makes a text at most six times as long.
 const (
+	// MaxTextSize is the longest text, in bytes.
 	MaxTextSize = 1024
-	MaxChanges  = 100
+	// MaxChanges and MaxChangesSize bound the lines of changes and all their
+	// bytes together.
+	MaxChanges     = 100
+	MaxChangesSize = 16 << 10
 )
 
 // Record is what is to be remembered of one change.
@@ -73,14 +77,27 @@
 	r.Author = bounded(r.Author)
 	r.Reason = bounded(r.Reason)
 	r.Time = r.Time.UTC().Truncate(time.Millisecond)
-	changes := make([]string, 0, min(len(r.Changes), MaxChanges))
-	for _, line := range plan.Shorten(r.Changes, MaxChanges) {
-		changes = append(changes, bounded(line))
+	changes := make([]string, len(r.Changes))
+	for i, line := range r.Changes {
+		changes[i] = bounded(line)
 	}
-	r.Changes = changes
+	r.Changes = plan.Shorten(changes, fitting(changes))
 	return r
 }
 
+// fitting returns how many lines fit the limits, the last one of which may have
+// to tell what was left out.
+func fitting(lines []string) int {
+	size := 0
+	for i, line := range lines {
+		size += len(line)
+		if i == MaxChanges || size > MaxChangesSize {
+			return max(i, 1)
+		}
+	}
+	return len(lines)
+}
+
 func bounded(text string) string {
 	text = strings.ToValidUTF8(text, "?")
 	if len(text) <= MaxTextSize {
--- a/internal/operator/ctl/ctl_test.go
+++ b/internal/operator/ctl/ctl_test.go
@@ -176,6 +176,9 @@
 	require.Empty(t, decoded[operator.AuditReport](t, b.run(kernel.ExitOK, "audit", "--json", "--since", "0s")).Entries)
 
 	require.Contains(t, b.run(kernel.ExitOK, "forecast"), "350.5")
+	require.Contains(t, b.run(kernel.ExitOK, "forecast", customers, changed), "600.5")
+	require.Contains(t, b.run(kernel.ExitOK, "forecast", "--offline", customers, changed), "600.5")
+	b.run(kernel.ExitUsage, "forecast", "--offline", customers)
 	csv := strings.Split(strings.TrimSpace(b.run(kernel.ExitOK, "forecast", "--csv")), "\n")
 	require.Len(t, csv, 3)
 	require.Contains(t, csv[2], "paarl-print,press,memberdesk,1000,0.25,250,0,0,0")
--- a/internal/operator/ctl/files.go
+++ b/internal/operator/ctl/files.go
@@ -112,7 +112,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return plan.DecodeContent(kind, body)
+	content, err := plan.DecodeContent(kind, body)
+	if err != nil {
+		return nil, err
+	}
+	_, err = plan.EncodeContent(content)
+	return content, err
 }
 
 // kindOf tells which list a file holds by its fields.
--- a/internal/operator/ctl/look.go
+++ b/internal/operator/ctl/look.go
@@ -141,17 +141,71 @@
 }
 
 func (a *app) forecast() *cli.Command {
-	return verb("forecast", "next month's bills: the most possible and at the present rate", " ", within(
-		func(ctx context.Context, command *cli.Command, s *session) error {
-			forecast, err := operator.Forecast(ctx, s.store, time.Now())
-			if err != nil {
-				return err
-			}
-			if command.Bool("csv") {
-				return writeCSV(a.out, forecast)
-			}
-			return a.print(command, forecast, func(w io.Writer) { printForecast(w, forecast) })
-		}), &cli.BoolFlag{Name: "csv", Usage: "print one CSV row for each customer and service"})
+	const usage = "next month's bills, of the lists in force or those of files"
+	return verb("forecast", usage, "[FILE FILE]", a.runForecast,
+		&cli.BoolFlag{Name: "csv", Usage: "print one CSV row for each customer and service"},
+		&cli.BoolFlag{Name: "offline", Usage: "work out the most possible bills of the files alone"})
+}
+
+func (a *app) runForecast(ctx context.Context, command *cli.Command) error {
+	if command.Bool("offline") {
+		lists, err := listsOf(command)
+		if err != nil {
+			return err
+		}
+		now := time.Now()
+		forecast, err := billing.NewForecast(lists, billing.NewUsage(billing.MonthOf(now), nil), now)
+		if err != nil {
+			return err
+		}
+		return a.showForecast(command, forecast)
+	}
+	return within(func(ctx context.Context, command *cli.Command, s *session) error {
+		lists, err := s.lists(ctx, command)
+		if err != nil {
+			return err
+		}
+		forecast, err := operator.Forecast(ctx, s.store, lists, time.Now())
+		if err != nil {
+			return err
+		}
+		return a.showForecast(command, forecast)
+	})(ctx, command)
+}
+
+// lists returns the lists of the files, or those in force without any.
+func (s *session) lists(ctx context.Context, command *cli.Command) (plan.Lists, error) {
+	if command.Args().Present() {
+		return listsOf(command)
+	}
+	return operator.CurrentLists(ctx, s.store)
+}
+
+func listsOf(command *cli.Command) (plan.Lists, error) {
+	files, err := readFiles(command.Args().Slice())
+	if err != nil {
+		return plan.Lists{}, err
+	}
+	var lists plan.Lists
+	for _, f := range files {
+		switch content := f.content.(type) {
+		case plan.Customers:
+			lists.Customers = content
+		case plan.Plans:
+			lists.Plans = content
+		}
+	}
+	if lists.Customers.Customers == nil || lists.Plans.Plans == nil {
+		return plan.Lists{}, kernel.Usage(errors.New("a file of customers and one of plans are needed"))
+	}
+	return lists, nil
+}
+
+func (a *app) showForecast(command *cli.Command, forecast billing.Forecast) error {
+	if command.Bool("csv") {
+		return writeCSV(a.out, forecast)
+	}
+	return a.print(command, forecast, func(w io.Writer) { printForecast(w, forecast) })
 }
 
 func printForecast(w io.Writer, forecast billing.Forecast) {
--- a/internal/operator/editor_test.go
+++ b/internal/operator/editor_test.go
@@ -339,6 +339,24 @@
 	require.ErrorContains(t, Dangling(ctx, store.View(calm)), `customers[0].plan: "q"`)
 }
 
+// The header of a document has room for its changes beside the largest list,
+// also where JSON makes every character six times as long.
+func TestLargestChangeFitsTheDocument(t *testing.T) {
+	var store memstore.Store
+	editor := calmEditor(&store)
+	wide := plan.Name(strings.Repeat("&", 120))
+	list := customers()
+	for size := 0; size < plan.MaxContentSize-3000; {
+		name := model.Customer(fmt.Sprint(strings.Repeat("<", 120), len(list.Customers)))
+		list.Customers = append(list.Customers, plan.Customer{Name: name, Plan: wide})
+		body, err := plan.EncodeContent(list)
+		require.NoError(t, err)
+		size = len(body)
+	}
+	_, err := editor.Apply(ctx, []plan.Content{list, plans(1, string(wide))}, Conditions{})
+	require.NoError(t, err)
+}
+
 func TestCutBelowUseNeedsConfirmation(t *testing.T) {
 	var store memstore.Store
 	editor := calmEditor(&store)
--- a/internal/operator/look.go
+++ b/internal/operator/look.go
@@ -93,22 +93,28 @@
 	return plan.CheckReferences(lists.Customers, lists.Plans)
 }
 
-// Forecast works out next month's bills from the lists in force and the
-// metering totals.
-func Forecast(ctx context.Context, store platform.Store, now time.Time) (billing.Forecast, error) {
+// CurrentLists reads the two lists in force.
+func CurrentLists(ctx context.Context, store platform.Store) (plan.Lists, error) {
 	state, err := ReadDocuments(ctx, store)
 	if err != nil {
-		return billing.Forecast{}, err
+		return plan.Lists{}, err
 	}
 	for _, held := range state.Held {
 		if held.Damaged != nil {
-			return billing.Forecast{}, Error.New("document %s is damaged: %w", held.Kind, held.Damaged)
+			return plan.Lists{}, Error.New("document %s is damaged: %w", held.Kind, held.Damaged)
 		}
 	}
+	return state.Lists(), nil
+}
+
+// Forecast works out next month's bills from lists and the metering totals.
+func Forecast(
+	ctx context.Context, store platform.Store, lists plan.Lists, now time.Time,
+) (billing.Forecast, error) {
 	usage, err := readUsage(ctx, store, billing.MonthOf(now))
 	if err != nil {
 		return billing.Forecast{}, err
 	}
-	forecast, err := billing.NewForecast(state.Lists(), usage, now)
+	forecast, err := billing.NewForecast(lists, usage, now)
 	return forecast, Error.Wrap(err)
 }
--- a/internal/plan/document.go
+++ b/internal/plan/document.go
@@ -101,14 +101,24 @@
 	}
 }
 
-// EncodeContent returns the normalized form of a content. Equal contents give
-// equal bytes.
+// EncodeContent checks a content and returns its normalized form, of at most
+// MaxContentSize. Equal contents give equal bytes.
 func EncodeContent(content Content) ([]byte, error) {
 	if err := content.Check(); err != nil {
 		return nil, err
 	}
 	body, err := json.Marshal(content.Normalized())
-	return body, Error.Wrap(err)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return body, checkSize(content.Kind(), body)
+}
+
+func checkSize(kind model.DocumentKind, body []byte) error {
+	if len(body) <= MaxContentSize {
+		return nil
+	}
+	return Error.New("%s: list of %d bytes is larger than %d", kind, len(body), MaxContentSize)
 }
 
 // ContentSHA256 returns the hex hash of the normalized form of a content.
@@ -144,8 +154,8 @@
 
 func decodeContent[T Content](body []byte) (Content, error) {
 	var content T
-	if len(body) > MaxContentSize {
-		return nil, Error.New("%s: list of %d bytes is larger than %d", content.Kind(), len(body), MaxContentSize)
+	if err := checkSize(content.Kind(), body); err != nil {
+		return nil, err
 	}
 	content, err := strictjson.Decode[T](body)
 	if err != nil {
--- a/internal/plan/size_test.go
+++ b/internal/plan/size_test.go
@@ -19,6 +19,13 @@
 	return list
 }
 
+func TestLargestListIsRefusedWholeOrFits(t *testing.T) {
+	_, err := EncodeContent(fullList(6900))
+	require.NoError(t, err)
+	_, err = EncodeContent(fullList(7200))
+	require.ErrorContains(t, err, "larger than 917504")
+}
+
 // BenchmarkDecodeDocument is what a node does with a newly accepted document.
 func BenchmarkDecodeDocument(b *testing.B) {
 	for _, n := range []int{100, 7000} {
