--- a/internal/operator/ctl/session.go
+++ b/internal/operator/ctl/session.go
@@ -86,8 +86,7 @@
 func provision(module kernel.Module, settings json.RawMessage) error {
 	log := logrus.New()
 	log.SetLevel(logrus.WarnLevel)
-	env := kernel.Env{Log: logrus.NewEntry(log), Path: "platform.settings", Fail: func(error) {}}
-	if err := module.Provision(env, settings); err != nil {
+	if err := module.Provision(kernel.Env{Log: logrus.NewEntry(log), Path: "platform.settings"}, settings); err != nil {
 		return err
 	}
 	return module.Validate()
