Let eight operators take zones out at the same moment

Zones are merged on top of whatever is in force, eight tries at most and without a pause. With as many operators as tries the last one could give up.

There are 16 tries now, with a growing pause in which the winner writes its audit entry.

Errors of arguments have a class of their own.

--- a/internal/operator/ctl/change.go
+++ b/internal/operator/ctl/change.go
@@ -114,12 +114,12 @@
 			name, number = files[0].content.Kind().String(), text
 		}
 		if !named && len(files) > 1 {
-			return conditions, fmt.Errorf("--if-revision %s: with several files name the list, as in plans=%s", text, text)
+			return conditions, Error.New("--if-revision %s: with several files name the list, as in plans=%s", text, text)
 		}
 		kind, known := plan.KindOf(name)
 		revision, err := strconv.ParseUint(number, 10, 64)
 		if !known || err != nil {
-			return conditions, fmt.Errorf("--if-revision %s: allowed: N, customers=N, plans=N or out=N", text)
+			return conditions, Error.New("--if-revision %s: allowed: N, customers=N, plans=N or out=N", text)
 		}
 		conditions.IfRevision[kind] = model.Revision(revision)
 	}
@@ -248,13 +248,13 @@
 }
 
 func needOutOrReturn(context.Context, *cli.Command) error {
-	return kernel.Usage(errors.New("out or return is needed"))
+	return kernel.Usage(Error.New("out or return is needed"))
 }
 
 func (a *app) setOut(t thing, out bool) cli.ActionFunc {
 	return within(func(ctx context.Context, command *cli.Command, s *session) error {
 		if command.Args().Len() != 1 {
-			return kernel.Usage(fmt.Errorf("one %s is needed", t.argument))
+			return kernel.Usage(Error.New("one %s is needed", t.argument))
 		}
 		name := command.Args().First()
 		desk := s.desk(ctx)
--- a/internal/operator/ctl/ctl.go
+++ b/internal/operator/ctl/ctl.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
 
 	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/operator"
@@ -35,8 +36,11 @@
 	ExitUnavailable = 9
 )
 
+// Error is the class of errors of the command line's arguments.
+var Error = errs.Class("arguments")
+
 // errInvalid marks errors of operators' files.
-var errInvalid = errors.New("not valid")
+var errInvalid = errs.New("not valid")
 
 // app is one run of balsamctl.
 type app struct {
--- a/internal/operator/ctl/files.go
+++ b/internal/operator/ctl/files.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
 
 	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/model"
@@ -75,7 +76,7 @@
 // readFiles reads and checks files that each hold another list.
 func readFiles(names []string) ([]file, error) {
 	if len(names) == 0 {
-		return nil, kernel.Usage(errors.New("a FILE is needed"))
+		return nil, kernel.Usage(Error.New("a FILE is needed"))
 	}
 	var files []file
 	var faults []error
@@ -87,7 +88,7 @@
 		}
 		for _, other := range files {
 			if other.content.Kind() == content.Kind() {
-				faults = append(faults, &fileError{name, fmt.Errorf("holds the list of %s, as %s does", content.Kind(), other.name)})
+				faults = append(faults, &fileError{name, errs.New("holds the list of %s, as %s does", content.Kind(), other.name)})
 			}
 		}
 		files = append(files, file{name, content})
@@ -123,11 +124,11 @@
 // kindOf tells which list a file holds by its fields.
 func kindOf(body []byte) (model.DocumentKind, error) {
 	if len(body) > plan.MaxContentSize {
-		return 0, fmt.Errorf("is larger than %d bytes", plan.MaxContentSize)
+		return 0, errs.New("is larger than %d bytes", plan.MaxContentSize)
 	}
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(body, &fields); err != nil {
-		return 0, fmt.Errorf("is not a JSON object: %w", err)
+		return 0, errs.New("is not a JSON object: %w", err)
 	}
 	for field, kind := range map[string]model.DocumentKind{
 		"customers": model.DocumentCustomers, "plans": model.DocumentPlans, "zones": model.DocumentOut,
@@ -136,7 +137,7 @@
 			return kind, nil
 		}
 	}
-	return 0, errors.New(`is no list: it has none of the fields "customers", "plans" and "zones"`)
+	return 0, errs.New(`is no list: it has none of the fields "customers", "plans" and "zones"`)
 }
 
 // checkTogether checks that the customers' plans exist, if both lists are there.
--- a/internal/operator/ctl/look.go
+++ b/internal/operator/ctl/look.go
@@ -43,7 +43,7 @@
 				return held.Damaged
 			}
 			if !held.Exists() {
-				return fmt.Errorf("document %s does not exist yet", kind)
+				return Error.New("document %s does not exist yet", kind)
 			}
 			content := held.Document.Content.Normalized()
 			if command.Bool("json") {
@@ -56,7 +56,7 @@
 func kindArgument(command *cli.Command) (model.DocumentKind, error) {
 	kind, known := plan.KindOf(command.Args().First())
 	if !known || command.Args().Len() != 1 {
-		return 0, kernel.Usage(errors.New("one of customers, plans and out is needed"))
+		return 0, kernel.Usage(Error.New("one of customers, plans and out is needed"))
 	}
 	return kind, nil
 }
@@ -104,7 +104,7 @@
 			return at, nil
 		}
 	}
-	return time.Time{}, fmt.Errorf("--since %s: allowed: a day, an instant with its zone or a duration", text)
+	return time.Time{}, Error.New("--since %s: allowed: a day, an instant with its zone or a duration", text)
 }
 
 func (a *app) printAudit(command *cli.Command, report operator.AuditReport, err error) error {
@@ -196,7 +196,7 @@
 		}
 	}
 	if lists.Customers.Customers == nil || lists.Plans.Plans == nil {
-		return plan.Lists{}, kernel.Usage(errors.New("a file of customers and one of plans are needed"))
+		return plan.Lists{}, kernel.Usage(Error.New("a file of customers and one of plans are needed"))
 	}
 	return lists, nil
 }
--- a/internal/operator/ctl/session.go
+++ b/internal/operator/ctl/session.go
@@ -40,7 +40,7 @@
 func readSettings(command *cli.Command) (Settings, error) {
 	path := command.String("settings")
 	if path == "" {
-		return Settings{}, kernel.Usage(errors.New("--settings FILE is needed"))
+		return Settings{}, kernel.Usage(Error.New("--settings FILE is needed"))
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -115,7 +115,7 @@
 
 func (a *app) checkSettings(_ context.Context, command *cli.Command) error {
 	if command.Args().Present() {
-		return kernel.Usage(errors.New("verb " + command.Args().First() + " is not known; see balsamctl --help"))
+		return kernel.Usage(Error.New("verb %s is not known; see balsamctl --help", command.Args().First()))
 	}
 	if !command.Bool("check-settings") {
 		return cli.ShowRootCommandHelp(command)
--- a/internal/operator/editor.go
+++ b/internal/operator/editor.go
@@ -17,7 +17,7 @@
 
 // maxMergeAttempts bounds how often a change that can be made on top of any
 // other is tried again.
-const maxMergeAttempts = 8
+const maxMergeAttempts = 16
 
 // Editor changes the operators' documents. Every accepted and every refused
 // change becomes an entry of the audit trail.
@@ -185,6 +185,9 @@
 ) (Result, error) {
 	var last error
 	for attempt := range maxMergeAttempts {
+		if err := e.pauseAfterRace(ctx, attempt); err != nil {
+			return Result{}, errors.Join(last, err)
+		}
 		state, err := e.readState(ctx, kind)
 		if err != nil {
 			return Result{}, err
@@ -212,6 +215,14 @@
 	return Result{}, last
 }
 
+// pauseAfterRace lets the winner of a race write its audit entry.
+func (e *Editor) pauseAfterRace(ctx context.Context, attempt int) error {
+	if attempt == 0 {
+		return nil
+	}
+	return Error.Wrap(e.pause(ctx, attempt))
+}
+
 // write writes one content on top of the state, which it brings up to date.
 func (e *Editor) write(ctx context.Context, state *State, content plan.Content) (Result, error) {
 	if err := completeTrail(ctx, e.trail, state); err != nil {
--- a/internal/operator/editor_test.go
+++ b/internal/operator/editor_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -289,6 +291,34 @@
 	}
 }
 
+// Operators take zones out at the same moment, each in a process of its own,
+// while every fifth answer of a write is lost. No zone is lost under another.
+func TestZonesOutAtOnce(t *testing.T) {
+	var store memstore.Store
+	var puts atomic.Int64
+	var running sync.WaitGroup
+	const operators = 8
+	faults := make([]error, operators)
+	for i := range operators {
+		editor := NewEditor(store.View(func(call string) memstore.Fault {
+			if call == "put" && puts.Add(1)%5 == 0 {
+				return memstore.Lost
+			}
+			return memstore.None
+		}), fmt.Sprint("operator ", i))
+		running.Go(func() { _, faults[i] = editor.SetZone(ctx, model.Zone(fmt.Sprint(i)), true) })
+	}
+	running.Wait()
+	require.NoError(t, errors.Join(faults...))
+	held, err := readHeld(ctx, store.View(calm), model.DocumentOut)
+	require.NoError(t, err)
+	require.Len(t, held.Document.Content.(plan.Out).Zones, operators)
+	require.Equal(t, model.Revision(operators), held.Revision)
+	report, err := Audit(ctx, store.View(calm), func(audit.Entry) bool { return true })
+	require.NoError(t, err)
+	require.Len(t, report.Entries, operators)
+}
+
 func TestLoserOfARaceSeesTheDifference(t *testing.T) {
 	var store memstore.Store
 	first := calmEditor(&store)
