Test the search in the trail and a death before its write

AcceptedAt settles lost answers and was only reached in one segment by the tests. It is now asked for each of 12 revisions over several segments, with the hint lost, old, wrong and damaged. A process that dies before its audit write leaves an entry pending, which the next command writes in its name.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -125,10 +125,9 @@
 	}).Draw(t, "fault")
 }
 
-// filled returns the segments of a trail of n accepted records, and the document
-// that the last of them made.
-func filled(t require.TestingT, n int) ([]Segment, plan.Document) {
-	var store memstore.Store
+// filled appends n accepted records and returns the segments, and the document
+// that the last record made.
+func filled(t require.TestingT, store *memstore.Store, n int) ([]Segment, plan.Document) {
 	trail := testTrail(store.View(calm))
 	var document plan.Document
 	for i := range n {
@@ -148,7 +147,7 @@
 }
 
 func TestEveryEditAndGapIsDetected(t *testing.T) {
-	segments, document := filled(t, 12)
+	segments, document := filled(t, new(memstore.Store), 12)
 	require.Greater(t, len(segments), 2)
 	require.Empty(t, verify(segments, document))
 	text, err := json.Marshal(segments)
@@ -199,3 +198,29 @@
 	require.Equal(t, uint64(2), after.Head.Sequence)
 	require.NotEmpty(t, verify(walk(t, trail)))
 }
+
+// The hint at the newest segment may be lost, old or wrong.
+func TestAcceptedAtLooksThroughAllSegments(t *testing.T) {
+	ctx := context.Background()
+	for _, text := range []string{"", `{"segment":1}`, `{"segment":99}`, "{"} {
+		var store memstore.Store
+		filled(t, &store, 12)
+		view := store.View(calm)
+		entry, err := view.Get(ctx, keyNewest)
+		require.NoError(t, err)
+		if text == "" {
+			require.NoError(t, view.Delete(ctx, keyNewest, entry.Version))
+		} else {
+			_, err = view.Put(ctx, platform.Write{Key: keyNewest, Value: []byte(text), Expect: entry.Version})
+			require.NoError(t, err)
+		}
+		for revision := model.Revision(1); revision <= 13; revision++ {
+			entry, found, err := testTrail(view).AcceptedAt(ctx, model.DocumentOut, revision)
+			require.NoError(t, err)
+			require.Equal(t, revision <= 12, found, "%s %d", text, revision)
+			if found {
+				require.Equal(t, fmt.Sprint("c", revision-1), entry.ChangeID)
+			}
+		}
+	}
+}
--- a/internal/operator/editor_test.go
+++ b/internal/operator/editor_test.go
@@ -319,6 +319,36 @@
 	require.Len(t, report.Entries, operators)
 }
 
+// balsamctl dies right after the document was accepted: the trail is one entry
+// short and says so, and the next command completes it in the dead one's name.
+func TestDeathBeforeTheAuditWrite(t *testing.T) {
+	var store memstore.Store
+	puts := 0
+	dying := testEditor(store.View(func(call string) memstore.Fault {
+		if call == "put" {
+			puts++
+		}
+		if puts == 2 {
+			return memstore.Unavailable
+		}
+		return memstore.None
+	}), func() string { return "dying" })
+	result, err := dying.SetZone(ctx, "a", true)
+	require.NoError(t, err)
+	require.Contains(t, result.Unrecorded, "unavailable")
+	all := func(audit.Entry) bool { return true }
+	report, err := Audit(ctx, store.View(calm), all)
+	require.NoError(t, err)
+	require.Equal(t, []string{"out"}, report.Pending)
+	_, err = calmEditor(&store).SetZone(ctx, "a", true)
+	require.NoError(t, err)
+	report, err = Audit(ctx, store.View(calm), all)
+	require.NoError(t, err)
+	require.Empty(t, report.Pending)
+	require.Len(t, report.Entries, 1)
+	require.Equal(t, "dying", report.Entries[0].ChangeID)
+}
+
 func TestLoserOfARaceSeesTheDifference(t *testing.T) {
 	var store memstore.Store
 	first := calmEditor(&store)
