--- a/internal/operator/ctl/session.go
+++ b/internal/operator/ctl/session.go
@@ -30,7 +30,7 @@
 func readSettings(command *cli.Command) (Settings, error) {
 	path := command.String("settings")
 	if path == "" {
-		return Settings{}, kernel.Usage(errors.New("--settings FILE is needed"))
+		return Settings{}, kernel.Usage(Error.New("--settings FILE is needed"))
 	}
 	read, err := settings.Load[Settings](path)
 	return read, kernel.Usage(err)
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &session{settings: read, store: store, module: module, client: rpc.NewClient(ring.ClientTLS())}
+	s := &session{settings: read, store: operator.Patient(store), module: module, client: rpc.NewClient(ring.ClientTLS())}
 	if err := provision(module, read.Platform.Settings); err != nil {
 		return nil, errors.Join(err, s.close())
 	}
@@ -83,10 +83,6 @@
 	return s.module.Stop()
 }
 
-func (s *session) editor() *operator.Editor {
-	return operator.NewEditor(s.store, s.settings.Author)
-}
-
 func (s *session) fleet(ctx context.Context) *operator.Fleet {
 	return operator.NewFleet(ctx, s.store, s.client, s.settings.Seeds)
 }
@@ -105,7 +101,7 @@
 
 func (a *app) checkSettings(_ context.Context, command *cli.Command) error {
 	if command.Args().Present() {
-		return kernel.Usage(errors.New("verb " + command.Args().First() + " is not known; see balsamctl --help"))
+		return kernel.Usage(Error.New("verb %s is not known; see balsamctl --help", command.Args().First()))
 	}
 	if !command.Bool("check-settings") {
 		return cli.ShowRootCommandHelp(command)
