Bound demand by what is admitted, and mend weak keeper tests

Cause: an agent whose requests were refused took its attempts for demand and drew nearly all units of a month into its slice; a refusal for a part that was not lacking also made it stop asking. Demand now counts admitted requests.

--- a/internal/keeper/lease.go
+++ b/internal/keeper/lease.go
@@ -154,6 +154,7 @@
 		return
 	}
 	metrics.Add("renewals_failed", 1)
+	s.nextRenew = min(s.nextRenew, s.leasingAt.Add(hurryInterval))
 	// Only a call that began after the lease came into doubt shows that the
 	// platform is silent now.
 	if s.phase == phaseDoubtful && s.leasingAt >= s.doubted {
--- a/internal/keeper/store_test.go
+++ b/internal/keeper/store_test.go
@@ -22,6 +22,8 @@
 	// effect without an answer.
 	down        bool
 	loseAnswers int
+	// blind makes the next read fail, as it may after a lost answer.
+	blind bool
 }
 
 type memoryLease struct {
@@ -83,6 +85,10 @@
 	}
 	defer s.mu.Unlock()
 	s.reads++
+	if s.blind {
+		s.blind = false
+		return platform.Entry{}, platform.Error.Wrap(platform.ErrUnavailable)
+	}
 	entry, ok := s.entries[key]
 	if !ok {
 		return platform.Entry{}, platform.Error.Wrap(platform.ErrNotFound)
@@ -116,6 +122,7 @@
 	}
 	if s.loseAnswers > 0 {
 		s.loseAnswers--
+		s.blind = true
 		return 0, platform.Error.Wrap(platform.ErrUnknownOutcome)
 	}
 	return s.version, nil
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -85,7 +85,6 @@
 		s.holdings[account] = holding
 	}
 	holding.used = now.At
-	holding.demand.arrive(now.At)
 	decision := h.decide(now, s, holding)
 	if decision.Wait && holding.waiting >= maxWaiting {
 		return Decision{Refused: ReasonBusy, RetryAfter: quickRetry}
--- a/internal/ledger/holding.go
+++ b/internal/ledger/holding.go
@@ -120,6 +120,7 @@
 func (h *holding) admit(now model.Instant, until model.Instant) Permit {
 	h.units--
 	h.open++
+	h.demand.arrive(now)
 	h.peak.see(now, h.open)
 	return Permit{Account: h.account, Month: h.month, until: until}
 }
@@ -211,11 +212,27 @@
 	h.shareSlots = grant.ShareSlots
 	h.refused = grant.Refused
 	h.retryAt = 0
-	if grant.Refused != ReasonNone {
+	if h.blockedBy(grant.Refused) {
 		h.retryAt = now.At.Add(time.Duration(grant.RetryAfterMS) * time.Millisecond)
 	}
 }
 
+// blockedBy reports whether what was refused is what the next request lacks.
+func (h *holding) blockedBy(refused Reason) bool {
+	switch refused {
+	case ReasonNone:
+		return false
+	case ReasonUnits, ReasonNoKeeper, ReasonClock:
+		return h.units == 0
+	case ReasonInFlight:
+		return h.open >= h.held
+	case ReasonRate:
+		return h.tokens.count() == 0
+	default:
+		return true
+	}
+}
+
 // take adds granted units. Units of a plan that was lowered below what is
 // granted are given back.
 func (h *holding) take(grant Grant) {
