--- a/internal/keys/shared.go
+++ b/internal/keys/shared.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strconv"
 	"strings"
+
+	"github.com/zeebo/errs"
 )
 
 // SharedKeySize is the length of each shared key, in bytes.
@@ -92,7 +94,7 @@
 func addKey(byName map[string][]Key, fields []string) error {
 	name := fields[0]
 	if name != nameDatagram && name != nameConnectionID && name != nameReset {
-		return Error.New("name %q is not known", name)
+		return errs.New("name %q is not known", name)
 	}
 	key, err := parseKey(fields[1:])
 	if err != nil {
@@ -100,7 +102,7 @@
 	}
 	for _, known := range byName[name] {
 		if known.Number == key.Number {
-			return Error.New("key %s %d stands twice", name, key.Number)
+			return errs.New("key %s %d stands twice", name, key.Number)
 		}
 	}
 	byName[name] = append(byName[name], key)
@@ -114,17 +116,17 @@
 	if len(fields) == 2 {
 		number, err := strconv.ParseUint(fields[0], 10, 8)
 		if err != nil || number > MaxKeyNumber {
-			return Key{}, Error.New("key number %q is not allowed", fields[0])
+			return Key{}, errs.New("key number %q is not allowed", fields[0])
 		}
 		key.Number = KeyNumber(number)
 		fields = fields[1:]
 	}
 	if len(fields) != 1 {
-		return Key{}, Error.New("%d fields after the name", len(fields))
+		return Key{}, errs.New("%d fields after the name", len(fields))
 	}
 	secret, err := hex.DecodeString(fields[0])
 	if err != nil || len(secret) != SharedKeySize {
-		return Key{}, Error.New("the last field is not %d hex digits", 2*SharedKeySize)
+		return Key{}, errs.New("the last field is not %d hex digits", 2*SharedKeySize)
 	}
 	copy(key.Secret[:], secret)
 	return key, nil
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -71,6 +71,9 @@
 	Control netip.AddrPort
 	// Slots is the number of requests that the agent's target can run at once.
 	Slots uint16
+	// Relay is the TCP address at which an agent takes requests from other
+	// agents of its service; invalid when it takes none.
+	Relay netip.AddrPort
 }
 
 // Newer reports whether r replaces other. Of two records with the same
@@ -93,6 +96,23 @@
 	maxCounter = 1 << 62
 )
 
+// birthRandomBits is the number of low bits of an incarnation that are random.
+const birthRandomBits = 20
+
+// Birth makes the incarnation of a node that starts, from the wall clock in
+// milliseconds and a random number. The random part keeps two starts apart whose
+// clocks show the same time.
+func Birth(unixMillis int64, random uint64) uint64 {
+	millis := uint64(max(unixMillis, 1))
+	return millis<<birthRandomBits | random%(1<<birthRandomBits)
+}
+
+// riseAbove returns the first incarnation above another that keeps the random
+// part of own, so that two starts which rise above the same do not meet.
+func riseAbove(above, own uint64) uint64 {
+	return (above>>birthRandomBits+1)<<birthRandomBits | own%(1<<birthRandomBits)
+}
+
 // Validate tells which field of a record is not acceptable.
 func (r Record) Validate() error {
 	switch {
