--- a/internal/ledger/grant.go
+++ b/internal/ledger/grant.go
@@ -18,8 +18,11 @@
 	lastFraction = 4
 	// scarceFraction marks units as scarce below 1/scarceFraction of the month.
 	scarceFraction = 200
+	// scarceSlots marks in-flight slots as scarce from 1/scarceSlots of the plan.
+	scarceSlots = 2
 
-	minRetry   = 50 * time.Millisecond
+	minRetry   = 150 * time.Millisecond
+	slotRetry  = 40 * time.Millisecond
 	unitsRetry = time.Second
 	// ceilingRetry is when to ask again while the platform takes no writes.
 	ceilingRetry = 200 * time.Millisecond
@@ -45,7 +48,6 @@
 	grant.PlanUnits = allowance.UnitsPerMonth
 	agents := float64(max(terms.Agents(want.Account.Service), 1))
 	grant.ShareRate = float32(allowance.RequestsPerSecond / agents)
-	grant.ShareSlots = uint32(float64(allowance.InFlight) / agents)
 	s.grantTokens(now, allowance, rate, agent, want, &grant)
 	s.grantSlots(now, allowance, rate, node, want, &grant)
 	s.grantUnits(now, allowance, want, &grant)
@@ -71,7 +73,7 @@
 	}
 	grant.TermMS = milliseconds(term)
 	grant.Tokens = rate.bucket.take(now.At, a, want.Tokens)
-	if want.Tokens > 0 && grant.Tokens == 0 {
+	if grant.Tokens < want.Tokens {
 		grant.Refused = ReasonRate
 		grant.RetryAfterMS = milliseconds(max(rate.bucket.nextToken(a), minRetry))
 	}
@@ -86,14 +88,14 @@
 	held := rate.slots[node]
 	limit := max(a.InFlight, rate.leased) - rate.leased + held
 	if s.learning(now) {
-		limit = min(limit, max(held, grant.ShareSlots, 1))
+		limit = held
 	}
 	rate.lease(node, min(want.Slots, limit))
 	grant.Slots = rate.slots[node]
-	grant.Scarce = rate.leased >= a.InFlight
+	grant.ScarceSlots = rate.leased >= a.InFlight/scarceSlots
 	if grant.Slots < want.Slots && grant.Slots <= want.Held {
 		grant.Refused = ReasonInFlight
-		grant.RetryAfterMS = milliseconds(minRetry)
+		grant.RetryAfterMS = milliseconds(slotRetry)
 	}
 }
 
@@ -118,7 +120,7 @@
 	grant.Units = s.take(units, a, want.Units)
 	remaining := a.UnitsPerMonth - min(units.committed, a.UnitsPerMonth)
 	if remaining < a.UnitsPerMonth/scarceFraction {
-		grant.Scarce = true
+		grant.ScarceUnits = true
 	}
 	if units.committed > a.UnitsPerMonth || want.Units > 0 && remaining == 0 && grant.Units == 0 {
 		grant.Refused = ReasonUnits
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -18,7 +18,11 @@
 	// unitTerm is how long units may be used after the keeper last answered.
 	unitTerm = 20 * time.Second
 	// quickRetry is the longest time to the next try that a request waits for.
-	quickRetry = 100 * time.Millisecond
+	quickRetry = 150 * time.Millisecond
+	// urgentSpacing and quietSpacing are the least times between two requests
+	// of a session, with and without a request or a peer that waits for it.
+	urgentSpacing = 20 * time.Millisecond
+	quietSpacing  = 100 * time.Millisecond
 )
 
 // Permit stands for one admitted request.
@@ -204,6 +208,9 @@
 		s.current.Fence = s.fence
 		return *s.current, true
 	}
+	if now.At.Sub(s.sent) < s.spacing(now.At) && !h.closing {
+		return Request{}, false
+	}
 	wants := s.wants(now, h.closing)
 	reports := s.reportDue(now.At, h.closing)
 	if len(wants) == 0 && !reports && !s.heartbeatDue(now.At, h.closing) {
@@ -219,6 +226,16 @@
 	return request, true
 }
 
+// spacing returns the least time between two requests.
+func (s *session) spacing(now model.Instant) time.Duration {
+	for _, holding := range s.holdings {
+		if holding.urgent(now) || holding.hoards() {
+			return urgentSpacing
+		}
+	}
+	return quietSpacing
+}
+
 func (s *session) wants(now Moment, closing bool) []Want {
 	var wants []Want
 	for _, account := range sortedAccounts(s.holdings) {
--- a/internal/ledger/holding.go
+++ b/internal/ledger/holding.go
@@ -35,7 +35,9 @@
 	held       uint32
 	open       uint32
 	waiting    uint32
-	scarce     bool
+	// scarceUnits and scarceSlots tell that the keeper is short of them.
+	scarceUnits bool
+	scarceSlots bool
 
 	demand demand
 	peak   peak
@@ -46,9 +48,8 @@
 	refused Reason
 	retryAt model.Instant
 
-	shareRate  float64
-	shareSlots uint32
-	share      bucket
+	shareRate float64
+	share     bucket
 
 	uses map[Month]*Use
 }
@@ -100,11 +101,11 @@
 }
 
 // borrow admits a request by the share of an agent whose keeper is not
-// reachable. It needs a unit in hand.
+// reachable. It needs a unit and a slot in hand.
 func (h *holding) borrow(now model.Instant) bool {
 	h.share.level = min(h.share.level+h.shareRate*now.Sub(h.share.filled).Seconds(), shareBurst)
 	h.share.filled = now
-	if h.units == 0 || h.open >= max(h.held, h.shareSlots) {
+	if h.units == 0 || h.open >= h.held {
 		return false
 	}
 	if _, ok := h.tokens.take(); ok {
@@ -127,7 +128,7 @@
 
 // horizon returns how far ahead units are asked for.
 func (h *holding) horizon() time.Duration {
-	if h.scarce {
+	if h.scarceUnits {
 		return scarceHorizon
 	}
 	return unitHorizon
@@ -160,7 +161,7 @@
 func (h *holding) returnSurplus(now model.Instant) {
 	target := uint64(h.waiting + h.demand.within(now, h.horizon()))
 	idle := now.Sub(h.used) > idleTime
-	if idle || h.units > 2*target+1 && h.scarce {
+	if idle || h.units > 2*target+1 && h.scarceUnits {
 		h.giveBack(target)
 	}
 }
@@ -168,7 +169,7 @@
 // slotsWanted returns the number of in-flight slots to have.
 func (h *holding) slotsWanted() uint32 {
 	wanted := h.open + h.waiting
-	if h.scarce {
+	if h.scarceSlots {
 		return wanted
 	}
 	return max(wanted, h.peak.value)
@@ -177,6 +178,9 @@
 // urgent reports whether a request waits and the keeper may be asked now.
 func (h *holding) urgent(now model.Instant) bool { return h.waiting > 0 && now >= h.retryAt }
 
+// hoards reports whether slots are held that others wait for.
+func (h *holding) hoards() bool { return h.scarceSlots && h.slotsWanted() < h.held }
+
 // due reports whether the keeper should be told or asked something now.
 func (h *holding) due(now model.Instant) bool {
 	if h.urgent(now) || h.tokensBack > 0 {
@@ -207,9 +211,9 @@
 	h.term = time.Duration(grant.TermMS) * time.Millisecond
 	h.tokens.add(grant.Tokens, sent.Add(h.term))
 	h.held = grant.Slots
-	h.scarce = grant.Scarce
+	h.scarceUnits = grant.ScarceUnits
+	h.scarceSlots = grant.ScarceSlots
 	h.shareRate = float64(grant.ShareRate)
-	h.shareSlots = grant.ShareSlots
 	h.refused = grant.Refused
 	h.retryAt = 0
 	if h.blockedBy(grant.Refused) {
@@ -217,7 +221,8 @@
 	}
 }
 
-// blockedBy reports whether what was refused is what the next request lacks.
+// blockedBy reports whether the keeper is not to be asked for a while after it
+// has refused.
 func (h *holding) blockedBy(refused Reason) bool {
 	switch refused {
 	case ReasonNone:
@@ -226,8 +231,6 @@
 		return h.units == 0
 	case ReasonInFlight:
 		return h.open >= h.held
-	case ReasonRate:
-		return h.tokens.count() == 0
 	default:
 		return true
 	}
--- /dev/null
+++ b/internal/ledger/rates_test.go
@@ -0,0 +1,138 @@
+package ledger
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/plan"
+)
+
+// rateMachine runs one keeper after the other, as leases see to it, and checks
+// the rate and the in-flight requests.
+type rateMachine struct {
+	machine
+	admissions map[Account][]model.Instant
+	allowance  plan.Allowance
+}
+
+func newRateMachine() *rateMachine {
+	m := &rateMachine{machine: *newMachine(), admissions: map[Account][]model.Instant{}}
+	m.allowance = plan.Allowance{RequestsPerSecond: 20, Burst: 30, InFlight: 25, UnitsPerMonth: 1_000_000}
+	for _, customer := range testCustomers {
+		m.plans[customer] = m.allowance
+	}
+	return m
+}
+
+// work lets an agent take a burst and end a part of its open requests.
+func (m *rateMachine) work(t *rapid.T) {
+	agent, account := m.agent(t), m.account(t)
+	burst := rapid.IntRange(1, 80).Draw(t, "burst")
+	waiting := m.take(agent, burst, func() Decision { return agent.holder.Acquire(m.now, account) })
+	for range 4 {
+		m.pulse(t, agent)
+		waiting = m.take(agent, waiting, func() Decision { return agent.holder.Retry(m.now, account) })
+	}
+	for range waiting {
+		agent.holder.Leave(m.now, account)
+	}
+	for range rapid.IntRange(0, len(agent.open)).Draw(t, "ended") {
+		m.end(agent, agent.open[0], true)
+		agent.open = agent.open[1:]
+	}
+}
+
+func (m *rateMachine) take(agent *testAgent, count int, ask func() Decision) int {
+	before := len(agent.open)
+	waiting := m.acquire(agent, count, ask)
+	for _, permit := range agent.open[before:] {
+		m.admissions[permit.Account] = append(m.admissions[permit.Account], m.now.At)
+	}
+	return waiting
+}
+
+// pulse is one exchange with the newest keeper, some 50 ms after the last.
+func (m *rateMachine) pulse(t *rapid.T, agent *testAgent) {
+	m.advance(50 * time.Millisecond)
+	m.exchange(t, agent, m.keepers[len(m.keepers)-1])
+}
+
+func (m *rateMachine) pulseAll(t *rapid.T) {
+	m.advance(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+	for _, agent := range m.agents {
+		m.pulse(t, agent)
+	}
+}
+
+// replace starts the next keeper, and all agents find it while it learns.
+func (m *rateMachine) replace(*rapid.T) {
+	m.takeOver()
+	keeper := m.keepers[len(m.keepers)-1]
+	for range 3 {
+		m.advance(250 * time.Millisecond)
+		for _, agent := range m.agents {
+			m.find(agent, keeper)
+		}
+	}
+}
+
+func (m *rateMachine) find(agent *testAgent, keeper *testKeeper) {
+	agent.holder.Failed(m.now, testShard)
+	if request, due := agent.holder.Next(m.now, testShard); due {
+		reply, err := keeper.shard.Exchange(m.now, m.terms(), request, true)
+		if err == nil {
+			agent.holder.Reply(m.now, testShard, reply)
+		}
+	}
+}
+
+func (m *rateMachine) check(t *rapid.T) {
+	allowed := float64(m.allowance.Burst) + m.allowance.RequestsPerSecond*rateWindow.Seconds()
+	for account, admissions := range m.admissions {
+		first := 0
+		for i, at := range admissions {
+			for at.Sub(admissions[first]) >= rateWindow {
+				first++
+			}
+			if most := float64(i - first + 1); most > (1+maxOvershoot)*allowed {
+				t.Fatalf("%v: %.0f requests within %s, plan allows %.0f", account, most, rateWindow, allowed)
+			}
+		}
+	}
+	open := map[Account]int{}
+	for _, agent := range m.agents {
+		for _, permit := range agent.open {
+			open[permit.Account]++
+		}
+	}
+	for account, count := range open {
+		if count > int(m.allowance.InFlight) {
+			t.Fatalf("%v: %d open requests of %d", account, count, m.allowance.InFlight)
+		}
+	}
+}
+
+// TestRatesAndSlotsStayWithinTheirBounds moves bursts between agents while
+// replies get lost or late, agents die and keepers follow each other.
+func TestRatesAndSlotsStayWithinTheirBounds(t *testing.T) {
+	require.NoError(t, flag.Set("rapid.checks", "500"))
+	require.NoError(t, flag.Set("rapid.steps", "100"))
+	rapid.Check(t, func(t *rapid.T) {
+		m := newRateMachine()
+		t.Repeat(map[string]func(*rapid.T){
+			"":          m.check,
+			"work":      m.work,
+			"work2":     m.work,
+			"work3":     m.work,
+			"pulseAll":  m.pulseAll,
+			"replace":   m.replace,
+			"lateReply": m.lateReply,
+			"kill":      m.kill,
+		})
+	})
+}
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -32,8 +32,8 @@
 	maxNameSize = 256
 	maxAgents   = 8192
 	maxAccounts = 8192
-	// learnTime is how long a new keeper lets agents tell their open requests
-	// before it grants in-flight slots beyond an agent's share.
+	// learnTime is how long a new keeper lets agents tell their in-flight slots
+	// before it grants further ones.
 	learnTime = 2 * time.Second
 	// slotTerm is how long the slots of a silent agent stay reserved.
 	slotTerm = 30 * time.Second
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -193,14 +193,15 @@
 	Units  uint32
 	// Slots is the number of requests that the agent may have open.
 	Slots uint32
-	// ShareRate and ShareSlots are what the agent may use while no keeper can
-	// be reached, in requests a second and open requests.
-	ShareRate  float32
-	ShareSlots uint32
+	// ShareRate is what the agent may use while no keeper can be reached, in
+	// requests a second.
+	ShareRate float32
 	// PlanUnits is the monthly allowance that the units were granted under.
 	PlanUnits uint64
-	// Scarce tells the agent to give back at once what it does not need.
-	Scarce bool
+	// ScarceUnits and ScarceSlots tell the agent to give back at once the units
+	// and the in-flight slots that it does not need.
+	ScarceUnits bool
+	ScarceSlots bool
 	// Refused tells which part of the want could not be granted in full.
 	Refused Reason
 	// RetryAfterMS is when to ask again, in milliseconds.
