--- a/internal/ledger/rates_test.go
+++ b/internal/ledger/rates_test.go
@@ -20,9 +20,9 @@
 	allowance  plan.Allowance
 }
 
-func newRateMachine() *rateMachine {
+func newRateMachine(slots uint32) *rateMachine {
 	m := &rateMachine{machine: *newMachine(), admissions: map[Account][]model.Instant{}}
-	m.allowance = plan.Allowance{RequestsPerSecond: 20, Burst: 30, InFlight: 25, UnitsPerMonth: 1_000_000}
+	m.allowance = plan.Allowance{RequestsPerSecond: 20, Burst: 30, InFlight: slots, UnitsPerMonth: 1_000_000}
 	for _, customer := range testCustomers {
 		m.plans[customer] = m.allowance
 	}
@@ -123,13 +123,14 @@
 	require.NoError(t, flag.Set("rapid.checks", "500"))
 	require.NoError(t, flag.Set("rapid.steps", "100"))
 	rapid.Check(t, func(t *rapid.T) {
-		m := newRateMachine()
+		m := newRateMachine(rapid.SampledFrom([]uint32{25, 1000}).Draw(t, "slots"))
 		t.Repeat(map[string]func(*rapid.T){
 			"":          m.check,
 			"work":      m.work,
 			"work2":     m.work,
 			"work3":     m.work,
 			"pulseAll":  m.pulseAll,
+			"pulseAll2": m.pulseAll,
 			"replace":   m.replace,
 			"lateReply": m.lateReply,
 			"kill":      m.kill,
