--- a/internal/booking/claims/claims_test.go
+++ b/internal/booking/claims/claims_test.go
@@ -2,14 +2,8 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"io"
-	"math/big"
 	"net"
 	"net/http"
 	"slices"
@@ -25,6 +19,7 @@
 	"github.com/balsamlink/balsamlink/internal/platform"
 	"github.com/balsamlink/balsamlink/internal/request"
 	"github.com/balsamlink/balsamlink/internal/rpc"
+	"github.com/balsamlink/balsamlink/internal/standin/mutual"
 )
 
 // store is a platform of one key. The methods that aren't here aren't used.
@@ -82,28 +77,10 @@
 	return slices.Clone(s.members)
 }
 
-func testTLS(t *testing.T) *tls.Config {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), DNSNames: []string{"test"}, NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	require.NoError(t, err)
-	leaf, err := x509.ParseCertificate(der)
-	require.NoError(t, err)
-	pool := x509.NewCertPool()
-	pool.AddCert(leaf)
-	return &tls.Config{
-		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
-		RootCAs:      pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, ServerName: "test",
-	}
-}
-
 func newService(t *testing.T, agents int) *service {
 	s := &service{t: t, store: &store{}, keepers: map[model.NodeID]*Keeper{}, servers: map[model.NodeID]*rpc.Server{}}
-	config := testTLS(t)
+	config, err := mutual.TLS()
+	require.NoError(t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for i := range agents {
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,179 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/request"
+	"github.com/balsamlink/balsamlink/internal/standin/answer"
+	"github.com/balsamlink/balsamlink/internal/standin/mutual"
+	standin "github.com/balsamlink/balsamlink/internal/standin/target"
+	"github.com/balsamlink/balsamlink/internal/target/http1"
+)
+
+// agent is one agent with its own stand-in target.
+type agent struct {
+	double  *standin.Target
+	handler *request.Handler
+	url     string
+}
+
+type directory []Agent
+
+// Agents implements Directory.
+func (d directory) Agents() []Agent { return d }
+
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+func startAgent(t *testing.T, config standin.Config, peers request.Peers) *agent {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	a := &agent{double: standin.New(config)}
+	go a.double.Serve(listener)
+	t.Cleanup(func() { a.double.Close() })
+	module := &http1.Module{}
+	settings, err := json.Marshal(map[string]any{"address": listener.Addr().String(), "slots": config.Slots})
+	require.NoError(t, err)
+	require.NoError(t, module.Provision(kernel.Env{Log: quiet()}, settings))
+	a.handler = request.New(request.Config{Target: module, Peers: peers, Log: quiet()})
+	t.Cleanup(a.handler.Close)
+	server := httptest.NewServer(a.handler)
+	t.Cleanup(server.Close)
+	a.url = server.URL
+	return a
+}
+
+// pair starts an agent that can hand over to a second one.
+func pair(t *testing.T, own, other standin.Config) (*agent, *agent, *Pool) {
+	config, err := mutual.TLS()
+	require.NoError(t, err)
+	second := startAgent(t, other, nil)
+	relay := httptest.NewUnstartedServer(http.HandlerFunc(second.handler.ServePeer))
+	relay.TLS = config.Clone()
+	relay.StartTLS()
+	t.Cleanup(relay.Close)
+	address := relay.Listener.Addr().(*net.TCPAddr).AddrPort()
+	pool := New(directory{{Node: "second", Relay: address}}, config)
+	return startAgent(t, own, pool), second, pool
+}
+
+func book(t *testing.T, a *agent, nonce string) (*http.Response, []byte, error) {
+	r, err := http.NewRequest(http.MethodPost, a.url+answer.PathBooking, nil)
+	require.NoError(t, err)
+	r.Header.Set(answer.HeaderNonce, nonce)
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, body, err
+}
+
+var warm = standin.Config{Slots: 4, Cold: 4, Service: time.Millisecond}
+
+func TestBookingThatWasNotSentRunsAtAPeer(t *testing.T) {
+	first, second, _ := pair(t, warm, warm)
+	first.double.Close()
+	response, body, err := book(t, first, "n")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusCreated, response.StatusCode)
+	want, err := io.ReadAll(answer.Body("n", answer.BookingSize))
+	require.NoError(t, err)
+	require.Equal(t, want, body)
+	require.Equal(t, 1, second.double.Ledger().Nonces["n"])
+}
+
+// TestUnknownAtThePeerStaysUnknown breaks the peer's target after it ran: the
+// booking is not tried a second time anywhere.
+func TestUnknownAtThePeerStaysUnknown(t *testing.T) {
+	first, second, _ := pair(t, warm, warm)
+	first.double.Close()
+	second.double.SetFault(standin.Fault{Break: standin.StepAfterRun})
+	response, _, err := book(t, first, "n")
+	require.NoError(t, err)
+	require.Equal(t, string(request.OutcomeUnknown), response.Header.Get(request.HeaderOutcome))
+	require.Equal(t, 1, second.double.Ledger().Nonces["n"])
+}
+
+func TestPeerCutShortNeverEndsCleanly(t *testing.T) {
+	first, second, _ := pair(t, warm, warm)
+	first.double.Close()
+	second.double.SetFault(standin.Fault{Break: standin.StepMidAnswer})
+	_, _, err := book(t, first, "n")
+	require.Error(t, err)
+}
+
+// TestFullTargetHandsOver fills the only slot of the first agent. A request
+// goes to the peer; with the peer full as well it waits for the own slot.
+func TestFullTargetHandsOver(t *testing.T) {
+	one := standin.Config{Slots: 1, Cold: 1, Service: 200 * time.Millisecond}
+	first, second, pool := pair(t, one, one)
+	pool.poll(context.Background())
+	var open sync.WaitGroup
+	statuses := make(chan int, 3)
+	for _, nonce := range []string{"a", "b", "c"} {
+		before := first.handler.Load()
+		open.Go(func() {
+			response, _, err := book(t, first, nonce)
+			if err == nil {
+				statuses <- response.StatusCode
+			}
+		})
+		require.Eventually(t, func() bool {
+			load, other := first.handler.Load(), second.handler.Load()
+			return load != before || other.InFlight == 1
+		}, 10*time.Second, time.Millisecond)
+	}
+	open.Wait()
+	close(statuses)
+	for status := range statuses {
+		require.Equal(t, http.StatusCreated, status)
+	}
+	own, other := first.double.Ledger(), second.double.Ledger()
+	require.Equal(t, 3, own.Bookings+other.Bookings)
+	require.Equal(t, 1, other.Bookings)
+	require.Equal(t, 1, own.MaxInFlight)
+	require.Equal(t, 1, other.MaxInFlight)
+}
+
+// TestIdempotentRequestIsRetriedAtAPeer cuts the own target's answer before its
+// header.
+func TestIdempotentRequestIsRetriedAtAPeer(t *testing.T) {
+	first, second, _ := pair(t, warm, warm)
+	first.double.SetFault(standin.Fault{Break: standin.StepAfterRun})
+	response, err := http.Get(first.url + answer.PathFile + "?size=10")
+	require.NoError(t, err)
+	response.Body.Close()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, 1, second.double.Ledger().Files)
+}
+
+func TestAgentThatLeftIsForgotten(t *testing.T) {
+	_, _, pool := pair(t, warm, warm)
+	pool.poll(context.Background())
+	peer, found := pool.Pick(nil)
+	require.True(t, found)
+	require.Equal(t, model.NodeID("second"), peer.Node())
+	_, found = pool.Pick([]model.NodeID{"second"})
+	require.False(t, found, "a peer is tried once")
+	pool.directory = directory{}
+	pool.poll(context.Background())
+	require.Empty(t, pool.views)
+}
--- a/internal/request/handler_test.go
+++ b/internal/request/handler_test.go
@@ -50,6 +50,7 @@
 func serveHandler(t *testing.T, config Config) (*httptest.Server, *Handler) {
 	config.Log = quiet()
 	handler := New(config)
+	t.Cleanup(handler.Close)
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	return server, handler
