--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -111,6 +111,13 @@
 	t.warmth.chill(time.Now())
 }
 
+// SetPatience changes how long the target bears too much before it collapses.
+func (t *Target) SetPatience(patience time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.config.Patience = patience
+}
+
 // Bears returns the number of requests that the target bears in service now.
 func (t *Target) Bears() int {
 	t.mu.Lock()
