Keep a roster whose homes are the wanted ones

A roster's homes stood in the order in which they were filled, so it never equalled the wanted ones and was replaced every few seconds for nothing; and an agent that knew no other, as just after its start, replaced the homes by itself. Both were safe, but cost platform writes and refused bookings for a moment. The homes are now in node order, and one that still answers is kept unless it says that it leaves.

--- a/internal/booking/change.go
+++ b/internal/booking/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"slices"
 
 	"github.com/balsamlink/balsamlink/internal/model"
@@ -87,7 +88,7 @@
 	return calls
 }
 
-// Ready returns the new roster once it may be written to the platform, on the
+// Ready returns the new roster, in node order, once it may be written to the platform, on the
 // condition that the old one is still in force there.
 func (c *Change) Ready() (Roster, bool) {
 	return Roster{ID: c.next, Members: c.installed}, c.phase == phaseReady
@@ -222,6 +223,7 @@
 	if len(c.settled) < len(c.wanted) {
 		return nil
 	}
+	slices.SortFunc(c.installed, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
 	c.phase = phaseReady
 	if len(c.installed) <= len(c.wanted)/2 {
 		c.phase = phaseFailed
--- a/internal/booking/claims/claims_test.go
+++ b/internal/booking/claims/claims_test.go
@@ -28,6 +28,7 @@
 	mu    sync.Mutex
 	entry platform.Entry
 	down  bool
+	reads int
 	// lose makes the next write take effect with a lost answer.
 	lose bool
 }
@@ -35,6 +36,7 @@
 func (s *store) Get(context.Context, string) (platform.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
 	if s.down {
 		return platform.Entry{}, platform.Error.Wrap(platform.ErrUnavailable)
 	}
@@ -44,6 +46,12 @@
 	return s.entry, nil
 }
 
+func (s *store) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 func (s *store) Put(_ context.Context, w platform.Write) (platform.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -211,6 +219,19 @@
 	require.Equal(t, request.OutcomeInProgress, s.outcome(guest, "moved").Outcome)
 }
 
+// TestAgentThatKnowsNobodyReplacesNoHomes hides all agents from each other.
+func TestAgentThatKnowsNobodyReplacesNoHomes(t *testing.T) {
+	s := newService(t, 3)
+	s.until(func() bool { return len(s.keepers["agent-0"].roster.Load().Members) == 3 })
+	before := s.keepers["agent-0"].roster.Load()
+	s.mu.Lock()
+	s.members = nil
+	s.mu.Unlock()
+	reads := s.store.count()
+	s.until(func() bool { return s.store.count() >= reads+6 })
+	require.Equal(t, before.ID, s.keepers["agent-0"].roster.Load().ID)
+}
+
 // TestNoMajorityNoClaim checks that a service that lost most homes at once, with
 // the platform down, refuses rather than runs a key twice.
 func TestNoMajorityNoClaim(t *testing.T) {
--- a/internal/booking/claims/keeper.go
+++ b/internal/booking/claims/keeper.go
@@ -193,6 +193,7 @@
 	}
 	select {
 	case response := <-m.reply:
+		response.Leaving = k.leaving.Load()
 		return response, nil
 	case <-k.done:
 		return booking.Response{}, Error.New("the home is closed")
--- a/internal/booking/claims/rosters.go
+++ b/internal/booking/claims/rosters.go
@@ -96,7 +96,7 @@
 	if !r.due(now, roster, members, wanted) && !(kicked && roster.ID.Epoch == 0) {
 		return
 	}
-	r.replace(ctx, wanted)
+	r.replace(ctx, members)
 }
 
 // due reports whether it is this agent's turn to replace the roster.
@@ -178,8 +178,9 @@
 	return roster, entry.Version, nil
 }
 
-// replace reads the roster in force and, if it is the known one, replaces it.
-func (r *rosters) replace(ctx context.Context, wanted []booking.Member) {
+// replace reads the roster in force and, if it is the known one and isn't what
+// is wanted, replaces it.
+func (r *rosters) replace(ctx context.Context, members []booking.Member) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout+changeTimeout)
 	defer cancel()
 	old, version, err := r.read(ctx)
@@ -191,6 +192,11 @@
 	if r.keeper.adopt(old) {
 		return
 	}
+	wanted := booking.Choose(old, r.withAnswering(ctx, old, members))
+	if slices.Equal(wanted, old.Members) && !r.keeper.unwell.Load() {
+		r.differsSince = 0
+		return
+	}
 	next, changed := r.change(ctx, old, wanted)
 	if !changed {
 		return
@@ -206,6 +212,22 @@
 	r.notify(ctx, old, next)
 }
 
+// withAnswering adds the homes that still answer, so that an agent which knows
+// too few others does not replace them.
+func (r *rosters) withAnswering(ctx context.Context, old booking.Roster, members []booking.Member) []booking.Member {
+	members = slices.Clone(members)
+	for _, home := range old.Members {
+		if slices.Contains(members, home) || home.Node == r.keeper.config.Self.Node {
+			continue
+		}
+		response, err := r.keeper.call(ctx, booking.Call{To: home, Request: booking.Request{Op: booking.OpNotify, Known: old}})
+		if err == nil && !response.Leaving {
+			members = append(members, home)
+		}
+	}
+	return members
+}
+
 func (r *rosters) write(ctx context.Context, next booking.Roster, version platform.Version) error {
 	value, err := json.Marshal(storedRoster{
 		Epoch: next.ID.Epoch, Random: hex.EncodeToString(next.ID.Random[:]), Members: next.Members,
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -135,6 +135,8 @@
 	// Newest is the newest roster in force that the home knows.
 	Newest Roster
 	Boot   Boot
+	// Leaving tells that the agent wants to be no home any more.
+	Leaving bool
 }
 
 // Record is what is kept of one key.
