Tell a pause from a cold target by the middle of five answers

The middle of the first five answers decides now. A pause of 500 ms at full load costs the limit for less than 3 s.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -84,6 +84,22 @@
 	})
 }
 
+// TestPauseIsAFalseAlarm stops a warm target for half a second. It must be in
+// full use again soon, and no later than a target that really turned cold.
+func TestPauseIsAFalseAlarm(t *testing.T) {
+	target := &modelTarget{slots: 8, cold: 8, factor: 1, service: 20 * time.Millisecond}
+	s := newSim(1, target, drawConfig(target))
+	s.load(1, 40*time.Second, false)
+	require.Equal(t, 8, s.c.Load().Limit)
+	for _, r := range s.running {
+		r.answers, r.ends = r.answers.Add(500*time.Millisecond), r.ends.Add(500*time.Millisecond)
+	}
+	s.load(1, 500*time.Millisecond, false)
+	require.Equal(t, 1, s.c.Load().Limit, "it may have turned cold")
+	s.load(1, 3*time.Second, false)
+	require.Equal(t, 8, s.c.Load().Limit)
+}
+
 func TestOverloadFavoursBookingsTwoToOne(t *testing.T) {
 	target := &modelTarget{slots: 8, cold: 8, factor: 1, service: 20 * time.Millisecond}
 	s := newSim(1, target, drawConfig(target))
--- a/internal/admission/learner.go
+++ b/internal/admission/learner.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/balsamlink/balsamlink/internal/model"
@@ -28,10 +29,10 @@
 	// again, over warmWindows cold windows.
 	warmRatio   = 1.1
 	warmWindows = 2
-	// falseAlarmRatio is how much slower than usual the first answers may be
-	// when a target has not turned cold after all.
-	falseAlarmRatio   = 1.15
-	falseAlarmSamples = 3
+	// falseAlarmRatio is how much slower than usual the middle one of the first
+	// answers may be when a target has not turned cold after all.
+	falseAlarmRatio   = 1.3
+	falseAlarmSamples = 5
 	// suspiciousRatio and suspiciousExtra tell how much slower than usual an
 	// answer is when the target may have turned cold.
 	suspiciousRatio = 2.0
@@ -102,6 +103,8 @@
 	idlePeak      int
 	// drifts holds the changes between the latest windows of a cold target.
 	drifts []float64
+	// ratios compares the first answers after a sign of cold with the usual times.
+	ratios []float64
 	// steady counts windows without a change, and warm those at the usual time.
 	steady int
 	warm   int
@@ -149,6 +152,9 @@
 	k.current.sum += seconds
 	k.current.samples++
 	l.windowSamples++
+	if l.phase == phaseVerify && k.samples >= usualSamples {
+		l.ratios = append(l.ratios, seconds/k.usual)
+	}
 	if l.phase == phaseVerify || l.phase == phaseCold {
 		return false
 	}
@@ -176,6 +182,7 @@
 	}
 	l.since = now
 	l.limit = 1
+	l.ratios = l.ratios[:0]
 	l.startWindow(now)
 	l.forgetTrend()
 }
@@ -250,7 +257,7 @@
 		}
 	case phaseVerify:
 		l.phase = phaseCold
-		if l.ratio() <= falseAlarmRatio {
+		if l.falseAlarm() {
 			l.phase = phaseWarm
 		}
 	default:
@@ -258,6 +265,16 @@
 	}
 }
 
+// falseAlarm reports whether most of the first answers after a sign of cold came
+// in the usual time. A few slow ones show a pause, not a cold target.
+func (l *learner) falseAlarm() bool {
+	if len(l.ratios) == 0 {
+		return false
+	}
+	slices.Sort(l.ratios)
+	return l.ratios[len(l.ratios)/2] <= falseAlarmRatio
+}
+
 // judgeCold lets the limit of a cold target grow by a step when its answer
 // times neither rose nor are still falling.
 func (l *learner) judgeCold(drift float64, compared, used bool) {
