--- a/internal/request/claim.go
+++ b/internal/request/claim.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/balsamlink/balsamlink/internal/model"
 )
@@ -55,6 +56,10 @@
 	return fmt.Sprintf("the idempotency key was used before: %s", e.Outcome)
 }
 
+// maxClaimedRun is how long a claimed request may take. It ends well within the
+// lifetime of the claim, so that no repeat runs beside it.
+const maxClaimedRun = time.Minute
+
 // storedBodyLimit is the size of the answers that are kept, in bytes.
 const storedBodyLimit = 1 << 10
 
@@ -72,6 +77,9 @@
 	if err != nil {
 		return false, unavailable(err.Error())
 	}
+	var cancel context.CancelFunc
+	c.ctx, cancel = context.WithTimeout(c.ctx, maxClaimedRun)
+	defer cancel()
 	return h.relayAnswer(w, c, claim)
 }
 
--- a/internal/request/failure_test.go
+++ b/internal/request/failure_test.go
@@ -242,6 +242,8 @@
 		return response, body
 	}
 	_, answered := book(one.URL, "answered")
+	require.LessOrEqual(t, first.Ledger().LastDeadlineMs, maxClaimedRun.Milliseconds())
+	require.Positive(t, first.Ledger().LastDeadlineMs, "a claimed request ends within its claim")
 	repeat, body := book(two.URL, "answered")
 	require.Equal(t, http.StatusCreated, repeat.StatusCode)
 	require.Equal(t, string(OutcomeAlreadyRun), repeat.Header.Get(HeaderOutcome))
