Run deployments with the platform and the operators' own tool

Cause: documents were brought to the balancers by a script; nothing was kept. A balancer's budget of platform calls fits one that keeps all shards: with 10 calls a second shards went without a keeper and 2258 of 3036 requests were refused. Telling nobody of one's leaving is no failure for the last node.

--- a/internal/experiment/operators.go
+++ b/internal/experiment/operators.go
@@ -4,12 +4,15 @@
 	"context"
 
 	"github.com/balsamlink/balsamlink/internal/model"
-	"github.com/balsamlink/balsamlink/internal/plan"
 	"github.com/balsamlink/balsamlink/internal/standin/deployment"
 )
 
-// setZonesOut brings a new revision of what is out of service to the balancers.
-func setZonesOut(ctx context.Context, layout deployment.Layout, revision model.Revision, zones []model.Zone) error {
-	out := plan.Out{Zones: zones, Targets: []model.NodeID{}}
-	return Error.Wrap(layout.Offer(ctx, []plan.Content{out}, revision))
+// setZone takes a zone out of service or returns it, as balsamctl does.
+func setZone(ctx context.Context, layout deployment.Layout, zone model.Zone, out bool) error {
+	operator, err := layout.Operator()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer operator.Close()
+	return Error.Wrap(operator.SetZone(ctx, zone, out))
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -27,6 +27,7 @@
 
 	settings settings.Node
 	counters *observe.Counters
+	log      *logrus.Entry
 	serving  bool
 	started  bool
 }
@@ -59,6 +60,7 @@
 		Library:  library,
 		settings: config.Settings,
 		counters: config.Counters,
+		log:      config.Log,
 	}
 	c.Cluster, err = cluster.New(cluster.Config{
 		Self: membership.Record{
@@ -101,9 +103,13 @@
 }
 
 // Drain implements kernel.Module: it tells the others that this node has ended.
-// It runs after the parts that use the control connection have drained.
+// It runs after the parts that use the control connection have drained. The last
+// nodes of a deployment have nobody to tell, which is no failure.
 func (c *Control) Drain(ctx context.Context) error {
-	return Error.Wrap(c.Cluster.Leave(ctx))
+	if err := c.Cluster.Leave(ctx); err != nil {
+		c.log.WithError(err).Warn("leave_not_told")
+	}
+	return nil
 }
 
 // Stop implements kernel.Module.
--- a/internal/standin/deployment/layout.go
+++ b/internal/standin/deployment/layout.go
@@ -10,6 +10,7 @@
 	"github.com/balsamlink/balsamlink/internal/devcerts"
 	"github.com/balsamlink/balsamlink/internal/fabric/proxyv2"
 	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/platform/httpkv"
 	"github.com/balsamlink/balsamlink/internal/settings"
 	"github.com/balsamlink/balsamlink/internal/standin/fabric"
 	"github.com/balsamlink/balsamlink/internal/target/http1"
@@ -33,6 +34,8 @@
 	Folder    string           `json:"folder"`
 	Authority string           `json:"authority"`
 	Services  []ServiceAddress `json:"services"`
+	// Platform is the address of the platform's stand-in.
+	Platform netip.AddrPort `json:"platform"`
 	// Bare is the address of the server without a load balancer, if any.
 	Bare netip.AddrPort `json:"bare,omitzero"`
 	// Seeds are the control addresses of the balancers.
@@ -53,6 +56,9 @@
 // OperatorName is the name of the operator in a deployment.
 const OperatorName = "operator"
 
+// FileOperator is the settings file of balsamctl in the folder.
+const FileOperator = "operator.json"
+
 // drainSeconds is how long the processes wait for open flows at their end.
 const drainSeconds = 20
 
@@ -77,6 +83,8 @@
 	w := &writer{shape: shape, net: net, folder: absolute}
 	w.layout = Layout{Shape: shape.Name, Folder: absolute, Authority: w.path(devcerts.FileServiceAuthority), Tokens: Tokens()}
 	w.writeKeys()
+	w.addPlatform()
+	w.writeOperator()
 	w.addFabric()
 	w.addTargets()
 	w.addBalancers()
@@ -117,6 +125,51 @@
 	w.fail(devcerts.Make(request))
 }
 
+func (w *writer) addPlatform() {
+	w.layout.Platform = w.net.Platform()
+	w.add(Process{
+		Name: "platform", Program: "balsamdev",
+		Args: []string{"platform", "--listen", w.net.Platform().String()},
+	})
+}
+
+func (w *writer) platform(caller string) httpkv.Settings {
+	return httpkv.Settings{Addresses: []netip.AddrPort{w.net.Platform()}, Caller: caller}
+}
+
+// The budget of calls of a balancer, which may keep all shards of the ledger.
+const (
+	balancerCallsPerSecond = 200
+	balancerCallBurst      = 200
+)
+
+func (w *writer) balancerPlatform(caller string) httpkv.Settings {
+	budget := w.platform(caller)
+	budget.CallsPerSecond = balancerCallsPerSecond
+	budget.CallBurst = balancerCallBurst
+	return budget
+}
+
+// writeOperator writes the settings of balsamctl and the operators' lists.
+func (w *writer) writeOperator() {
+	for number := range w.shape.Balancers {
+		w.layout.Seeds = append(w.layout.Seeds, w.net.balancer(number, portControl))
+	}
+	w.writeJSON(FileOperator, settings.Operator{
+		Author:   OperatorName,
+		Keys:     devcerts.NodeFiles(w.folder, OperatorName),
+		Seeds:    w.layout.Seeds,
+		Platform: plugin("httpkv", w.platform(OperatorName)),
+	})
+	var services []model.Service
+	for _, service := range w.shape.Services {
+		services = append(services, service.Name)
+	}
+	for _, content := range Contents(services) {
+		w.writeJSON(content.Kind().String()+".json", content)
+	}
+}
+
 func (w *writer) addFabric() {
 	stand := fabric.Settings{
 		Listen:    w.net.FabricBack(),
@@ -166,7 +219,6 @@
 
 func (w *writer) addBalancers() {
 	for number := range w.shape.Balancers {
-		w.layout.Seeds = append(w.layout.Seeds, w.net.balancer(number, portControl))
 		at := func(port uint16) netip.AddrPort { return w.net.balancer(number, port) }
 		name := BalancerName(number)
 		lb := settings.Balancer{
@@ -179,6 +231,7 @@
 		for i, service := range w.shape.Services {
 			lb.Services = append(lb.Services, settings.Service{Name: service.Name, Address: w.net.Service(i)})
 		}
+		lb.Node.Platform = plugin("httpkv", w.balancerPlatform(string(name)))
 		w.addNode(name, "balsamlb", lb, lb.Node)
 	}
 }
@@ -230,8 +283,9 @@
 		Keys:    devcerts.NodeFiles(w.folder, string(name)),
 		Control: at(portControl), Data: at(portData), Operators: at(portOperators),
 		DrainSeconds: drainSeconds,
+		Seeds:        w.layout.Seeds,
+		Platform:     plugin("httpkv", w.platform(string(name))),
 	}
-	node.Seeds = w.layout.Seeds
 	return node
 }
 
