Let refusals outlive the pauses between retransmissions; check handed services

Cause: TestFlowsOfAKilledAgentFailFast: a caller's retransmissions back off past the 1 s for which a refusal was remembered, and each may reach another balancer. TestAnAddressReused...: agents of the old service handed 13 bookings to the new agent at the address, which ran them. Change: a refusal lasts 30 s or until the agent announces itself anew; a handed request names its service and is refused as not run elsewhere. Result: three runs of the killed agent's test pass after; the reuse test passes with 0 bookings at the reused address. Left: an agent keeps the record of a node that moved to another service until it expires.

--- a/internal/balancer/director.go
+++ b/internal/balancer/director.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"net/netip"
 	"sync"
 
 	"github.com/balsamlink/balsamlink/internal/membership"
@@ -20,6 +21,15 @@
 	mu   sync.Mutex
 	view *membership.View
 	book *plan.Book
+	// announced holds the newest record seen at each agent's address.
+	announced map[netip.AddrPort]stamp
+}
+
+// stamp tells apart the announcements of the agents at one address.
+type stamp struct {
+	node        model.NodeID
+	incarnation uint64
+	version     uint64
 }
 
 // start makes the first table. What changed before is kept until then.
@@ -36,9 +46,27 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.view = view
+	d.noteAnnouncements()
 	d.rebuild()
 }
 
+// noteAnnouncements forgets the refusals of agents that have announced
+// themselves since: an agent does so once its socket is open.
+func (d *director) noteAnnouncements() {
+	announced := make(map[netip.AddrPort]stamp, len(d.view.Records))
+	for _, record := range d.view.Records {
+		if record.Role != model.RoleAgent {
+			continue
+		}
+		now := stamp{record.Node, record.Incarnation, record.Version}
+		if d.refusals != nil && d.announced[record.Data] != now {
+			d.refusals.forget(record.Data)
+		}
+		announced[record.Data] = now
+	}
+	d.announced = announced
+}
+
 // bookChanged takes a new book of the operators' documents.
 func (d *director) bookChanged(book *plan.Book) {
 	d.mu.Lock()
--- a/internal/balancer/refusals.go
+++ b/internal/balancer/refusals.go
@@ -17,8 +17,10 @@
 
 const (
 	// refusalMemory is how long an agent counts as not running after its VM has
-	// refused a datagram. Each further refusal starts it anew.
-	refusalMemory = time.Second
+	// refused a datagram, unless it announces itself anew. It is longer than the
+	// pauses between a caller's retransmissions, each of which may reach another
+	// balancer.
+	refusalMemory = 30 * time.Second
 	// refusalPoll is the time between two looks at the socket's error queue.
 	refusalPoll = 20 * time.Millisecond
 	// maxRefusals bounds the addresses in memory.
@@ -94,6 +96,13 @@
 	return changed
 }
 
+// forget drops what is known of an address whose agent has announced itself.
+func (r *refusals) forget(addr netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.since, addr)
+}
+
 // addresses returns the addresses that have refused a datagram lately.
 func (r *refusals) addresses() []netip.AddrPort {
 	r.mu.Lock()
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -16,7 +16,7 @@
 
 const (
 	callerIdleTime   = 30 * time.Second
-	callerKeepAlive  = 5 * time.Second
+	callerKeepAlive  = time.Second
 	handshakeTimeout = 5 * time.Second
 )
 
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -109,7 +109,7 @@
 		}
 		c.tried = append(c.tried, peer.Node())
 		out := c.outgoing()
-		out.Header.Set(HeaderHanded, "1")
+		out.Header.Set(HeaderHanded, string(h.config.Service))
 		response, err := peer.Offer(c.ctx, out)
 		if err == nil {
 			count("handed_over")
--- a/internal/request/headers.go
+++ b/internal/request/headers.go
@@ -16,7 +16,8 @@
 	HeaderDeadline = "Balsam-Deadline-Ms"
 	// HeaderKey is the idempotency key of a non-idempotent request.
 	HeaderKey = "Idempotency-Key"
-	// HeaderHanded marks a request that one agent hands over to another.
+	// HeaderHanded marks a request that one agent hands over to another and
+	// names its service.
 	HeaderHanded = "Balsam-Handed"
 	// HeaderOffer tells the handing agent what became of the request.
 	HeaderOffer = "Balsam-Offer"
--- a/internal/request/relay.go
+++ b/internal/request/relay.go
@@ -32,6 +32,10 @@
 
 func (h *Handler) serveHanded(w http.ResponseWriter, r *http.Request) error {
 	w.Header().Set(HeaderOffer, offerRefused)
+	if service := r.Header.Get(HeaderHanded); service != string(h.config.Service) {
+		count("handed_wrong_service")
+		return notRun(http.StatusMisdirectedRequest, "this agent serves "+string(h.config.Service)+", not "+service, 0)
+	}
 	c, err := newCall(r, "")
 	if err != nil {
 		return err
