Give each process a budget of calls that a takeover of shards fits in

Cause: a trial of the quickstart with the stand-in platform (a scratch copy whose settings name httpkv) ran out of the budget of 10 calls a second and 40 at once: 217 takeovers of shards failed and 3,011 of 3,453 requests were refused, most for lack of a keeper. Ruled out: queueing calls over the budget, which hides overload and delays leases past their end.

--- a/internal/platform/httpkv/settings.go
+++ b/internal/platform/httpkv/settings.go
@@ -18,18 +18,18 @@
 	TimeoutMillis uint32 `json:"timeout_ms,omitempty" jsonschema:"maximum=60000"`
 	// WatchMillis is how long a watch waits for a change; 0 stands for 20000.
 	WatchMillis uint32 `json:"watch_ms,omitempty" jsonschema:"maximum=60000"`
-	// CallsPerSecond is this process's budget of calls; 0 stands for 10.
+	// CallsPerSecond is this process's budget of calls; 0 stands for 40.
 	CallsPerSecond float64 `json:"calls_per_second,omitempty" jsonschema:"minimum=0,maximum=10000"`
 	// CallBurst is how many calls may come at once after a quiet time; 0 stands
-	// for 40.
+	// for 400.
 	CallBurst uint32 `json:"call_burst,omitempty" jsonschema:"maximum=10000"`
 }
 
 const (
 	defaultTimeout        = time.Second
 	defaultWatch          = 20 * time.Second
-	defaultCallsPerSecond = 10
-	defaultCallBurst      = 40
+	defaultCallsPerSecond = 40
+	defaultCallBurst      = 400
 )
 
 func decodeSettings(path string, text []byte) (Settings, error) {
