--- a/internal/operator/editor.go
+++ b/internal/operator/editor.go
@@ -17,7 +17,7 @@
 
 // maxMergeAttempts bounds how often a change that can be made on top of any
 // other is tried again.
-const maxMergeAttempts = 8
+const maxMergeAttempts = 16
 
 // Editor changes the operators' documents. Every accepted and every refused
 // change becomes an entry of the audit trail.
@@ -28,13 +28,18 @@
 	now    func() time.Time
 	newID  func() string
 	pause  func(ctx context.Context, attempt int) error
+	run    func(tasks []func())
+
+	// OnAccepted is called with each accepted change at once, before the audit
+	// trail is written. It may be nil.
+	OnAccepted func(Result)
 }
 
 // NewEditor returns an editor whose changes carry the author's name.
 func NewEditor(store platform.Store, author string) *Editor {
 	return &Editor{
 		store: store, trail: audit.NewTrail(store), author: author,
-		now: time.Now, newID: uuid.NewString, pause: pauseBetween,
+		now: time.Now, newID: uuid.NewString, pause: pauseBetween, run: runAtOnce,
 	}
 }
 
@@ -69,7 +74,7 @@
 // accepted. Several documents are written one after the other: an error tells
 // what became of the last, and the results what came before.
 func (e *Editor) Apply(ctx context.Context, contents []plan.Content, conditions Conditions) ([]Result, error) {
-	state, err := readState(ctx, e.store, e.trail)
+	state, err := e.readState(ctx, model.DocumentCustomers, model.DocumentPlans, model.DocumentOut)
 	if err != nil {
 		return nil, err
 	}
@@ -117,11 +122,15 @@
 	return wanted
 }
 
-// judge returns why a change is refused, or nil. Failures of the platform refuse
+// judge returns why a change is refused, or nil. What is in force already is
+// never refused, so that a command may be given again. Failures of the platform refuse
 // a change too, as it can't be judged without it.
 func (e *Editor) judge(
 	ctx context.Context, state State, contents, steps []plan.Content, conditions Conditions,
 ) error {
+	if len(steps) == 0 {
+		return nil
+	}
 	for _, content := range contents {
 		held := state.Held[content.Kind()]
 		want, asked := conditions.IfRevision[content.Kind()]
@@ -176,7 +185,10 @@
 ) (Result, error) {
 	var last error
 	for attempt := range maxMergeAttempts {
-		state, err := readState(ctx, e.store, e.trail)
+		if err := e.pauseAfterRace(ctx, attempt); err != nil {
+			return Result{}, errors.Join(last, err)
+		}
+		state, err := e.readState(ctx, kind)
 		if err != nil {
 			return Result{}, err
 		}
@@ -203,6 +215,14 @@
 	return Result{}, last
 }
 
+// pauseAfterRace lets the winner of a race write its audit entry.
+func (e *Editor) pauseAfterRace(ctx context.Context, attempt int) error {
+	if attempt == 0 {
+		return nil
+	}
+	return Error.Wrap(e.pause(ctx, attempt))
+}
+
 // write writes one content on top of the state, which it brings up to date.
 func (e *Editor) write(ctx context.Context, state *State, content plan.Content) (Result, error) {
 	if err := completeTrail(ctx, e.trail, state); err != nil {
@@ -229,6 +249,9 @@
 	state.Held[held.Kind] = Held{
 		Kind: held.Kind, Document: p.document, Revision: header.Revision, version: version, body: p.body,
 	}
+	if e.OnAccepted != nil {
+		e.OnAccepted(result)
+	}
 	if err := completeTrail(ctx, e.trail, state); err != nil {
 		result.Unrecorded = err.Error()
 	}
--- a/internal/operator/look.go
+++ b/internal/operator/look.go
@@ -81,22 +81,40 @@
 	return report, nil
 }
 
-// Forecast works out next month's bills from the lists in force and the
-// metering totals.
-func Forecast(ctx context.Context, store platform.Store, now time.Time) (billing.Forecast, error) {
+// Dangling reads the lists and tells which customers are on a missing plan, as
+// can happen when two operators each change one list. Such customers have no
+// allowance. It returns nil when all is well or nothing can be read.
+func Dangling(ctx context.Context, store platform.Store) error {
 	state, err := ReadDocuments(ctx, store)
 	if err != nil {
-		return billing.Forecast{}, err
+		return nil
+	}
+	lists := state.Lists()
+	return plan.CheckReferences(lists.Customers, lists.Plans)
+}
+
+// CurrentLists reads the two lists in force.
+func CurrentLists(ctx context.Context, store platform.Store) (plan.Lists, error) {
+	state, err := ReadDocuments(ctx, store)
+	if err != nil {
+		return plan.Lists{}, err
 	}
 	for _, held := range state.Held {
 		if held.Damaged != nil {
-			return billing.Forecast{}, Error.New("document %s is damaged: %w", held.Kind, held.Damaged)
+			return plan.Lists{}, Error.New("document %s is damaged: %w", held.Kind, held.Damaged)
 		}
 	}
+	return state.Lists(), nil
+}
+
+// Forecast works out next month's bills from lists and the metering totals.
+func Forecast(
+	ctx context.Context, store platform.Store, lists plan.Lists, now time.Time,
+) (billing.Forecast, error) {
 	usage, err := readUsage(ctx, store, billing.MonthOf(now))
 	if err != nil {
 		return billing.Forecast{}, err
 	}
-	forecast, err := billing.NewForecast(state.Lists(), usage, now)
+	forecast, err := billing.NewForecast(lists, usage, now)
 	return forecast, Error.Wrap(err)
 }
