--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -38,6 +38,7 @@
 func Execute(command *cli.Command, arguments []string) int {
 	command.ExitErrHandler = func(context.Context, *cli.Command, error) {}
 	command.Version = version()
+	markUsageErrors(command)
 	err := command.Run(context.Background(), arguments)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", command.Name, err)
@@ -45,6 +46,17 @@
 	return kernel.ExitCode(err)
 }
 
+// markUsageErrors gives bad arguments of a command and all below it their exit
+// code.
+func markUsageErrors(command *cli.Command) {
+	command.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return kernel.Usage(err)
+	}
+	for _, below := range command.Commands {
+		markUsageErrors(below)
+	}
+}
+
 func (p Process[T]) command() *cli.Command {
 	return &cli.Command{
 		Name:  p.Name,
@@ -53,8 +65,7 @@
 			&cli.StringFlag{Name: "settings", Usage: "JSON `FILE` with the settings", Required: true},
 			&cli.BoolFlag{Name: "check-settings", Usage: "check the settings and end"},
 		},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error { return kernel.Usage(err) },
-		Action:       p.act,
+		Action: p.act,
 	}
 }
 
--- a/internal/devcerts/command.go
+++ b/internal/devcerts/command.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/balsamlink/balsamlink/internal/kernel"
 )
 
 // Command returns the command "certs" of balsamdev.
@@ -23,6 +25,9 @@
 				Nodes:     command.StringSlice("node"),
 				Services:  command.StringSlice("service"),
 			}
+			if err := request.check(); err != nil {
+				return kernel.Usage(err)
+			}
 			if err := Make(request); err != nil {
 				return err
 			}
