--- a/internal/operator/ctl/session.go
+++ b/internal/operator/ctl/session.go
@@ -4,12 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"os"
 
-	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
 	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/keys"
+	"github.com/balsamlink/balsamlink/internal/observe"
 	"github.com/balsamlink/balsamlink/internal/operator"
 	"github.com/balsamlink/balsamlink/internal/platform"
 	"github.com/balsamlink/balsamlink/internal/rpc"
@@ -70,9 +71,12 @@
 }
 
 func provision(module kernel.Module, settings json.RawMessage) error {
-	log := logrus.New()
-	log.SetLevel(logrus.WarnLevel)
-	if err := module.Provision(kernel.Env{Log: logrus.NewEntry(log), Path: "platform.settings"}, settings); err != nil {
+	log, err := observe.NewLog(os.Stderr, "warning")
+	if err != nil {
+		return err
+	}
+	env := kernel.Env{Log: log, Path: "platform.settings", Fail: func(error) {}}
+	if err := module.Provision(env, settings); err != nil {
 		return err
 	}
 	return module.Validate()
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"sync"
@@ -75,7 +76,7 @@
 	Error  string
 }
 
-// Status asks all nodes that a seed knows for their reports, in node order.
+// Status asks all nodes that the seeds know for their reports, in node order.
 func (f *Fleet) Status(ctx context.Context) ([]NodeStatus, error) {
 	members, err := f.members(ctx)
 	if err != nil {
@@ -94,22 +95,25 @@
 	return nodes, nil
 }
 
-// members asks one seed after the other for the nodes that it knows.
+// members asks all seeds for the nodes that they know, since a seed that has just
+// started or is cut off knows a part of them only. It returns them in node order.
 func (f *Fleet) members(ctx context.Context) ([]status.Member, error) {
 	if len(f.seeds) == 0 {
 		return nil, Error.New("no seed is known: the platform lists none and the settings name none")
 	}
-	var last error
-	for _, seed := range f.seeds {
-		report, err := call[status.Request, status.Report](ctx, f.client, seed, rpc.MethodStatus, status.Request{Members: true})
-		if err != nil {
-			last = err
-			continue
-		}
-		slices.SortFunc(report.Members, func(a, b status.Member) int { return cmp.Compare(a.Node, b.Node) })
-		return report.Members, nil
+	known := make([][]status.Member, len(f.seeds))
+	faults := make([]error, len(f.seeds))
+	each(len(f.seeds), func(i int) {
+		request := status.Request{Members: true}
+		report, err := call[status.Request, status.Report](ctx, f.client, f.seeds[i], rpc.MethodStatus, request)
+		known[i], faults[i] = report.Members, err
+	})
+	if !slices.Contains(faults, nil) {
+		return nil, Error.New("no seed answers: %w", errors.Join(faults...))
 	}
-	return nil, Error.New("no seed answers: %w", last)
+	members := slices.Concat(known...)
+	slices.SortFunc(members, func(a, b status.Member) int { return cmp.Compare(a.Node, b.Node) })
+	return slices.CompactFunc(members, func(a, b status.Member) bool { return a.Node == b.Node }), nil
 }
 
 // Knows reports whether a seed knows a node of the zone, or of the name; false
