Kill agents whole in the claims tests, and slow down fruitless changes

scripts/test failed once: TestKeysSurviveADeadHome (20 s, condition never satisfied). The test closed the servers of two agents and left their control goroutines running, so each put itself back into the roster while the others took it out. An agent that is reached one way only does the same for real; it is safe, but each change refuses bookings for a moment and costs a platform write, so the settle time doubles from 2 s to 64 s while changes do not lead to the wanted homes.

--- a/internal/booking/claims/claims_test.go
+++ b/internal/booking/claims/claims_test.go
@@ -134,6 +134,13 @@
 	s.members = slices.DeleteFunc(s.members, func(m booking.Member) bool { return m.Node == node })
 }
 
+// kill ends an agent at once.
+func (s *service) kill(node model.NodeID) {
+	s.servers[node].Close()
+	s.keepers[node].Close()
+	s.remove(node)
+}
+
 // home returns an agent that is a home, or one that is none.
 func (s *service) home(is bool) *Keeper {
 	for _, member := range s.Members() {
@@ -191,8 +198,7 @@
 	s.store.lose = true
 	s.store.mu.Unlock()
 	for _, dead := range []model.NodeID{"agent-3", "agent-4"} {
-		s.servers[dead].Close()
-		s.remove(dead)
+		s.kill(dead)
 	}
 	require.NotNil(t, s.outcome(s.keepers["agent-1"], "kept"), "three of five homes are left")
 	s.until(func() bool {
@@ -213,8 +219,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	require.NoError(t, leaver.Leave(ctx), "the others still take it for an active agent")
-	s.remove(leaver.config.Self.Node)
-	s.servers[leaver.config.Self.Node].Close()
+	s.kill(leaver.config.Self.Node)
 	s.until(func() bool { return guest.isHome() })
 	require.Equal(t, request.OutcomeInProgress, s.outcome(guest, "moved").Outcome)
 }
@@ -240,8 +245,8 @@
 	s.store.mu.Lock()
 	s.store.down = true
 	s.store.mu.Unlock()
-	s.servers["agent-1"].Close()
-	s.servers["agent-2"].Close()
+	s.kill("agent-1")
+	s.kill("agent-2")
 	_, err := s.keepers["agent-0"].Claim(context.Background(), key("refused"))
 	require.ErrorContains(t, err, "too few homes")
 }
--- a/internal/booking/claims/keeper.go
+++ b/internal/booking/claims/keeper.go
@@ -67,6 +67,7 @@
 	unwell   atomic.Bool
 	leaving  atomic.Bool
 	done     chan struct{}
+	closing  sync.Once
 	running  sync.WaitGroup
 	settling chan struct{}
 	rosters  *rosters
@@ -118,7 +119,7 @@
 
 // Close ends the keeper's work.
 func (k *Keeper) Close() {
-	close(k.done)
+	k.closing.Do(func() { close(k.done) })
 	k.running.Wait()
 }
 
--- a/internal/booking/claims/rosters.go
+++ b/internal/booking/claims/rosters.go
@@ -23,6 +23,9 @@
 	// it is replaced, and stagger the time between two agents that do so.
 	settleTime = 2 * time.Second
 	stagger    = time.Second
+	// maxFruitless bounds how often the settle time doubles while changes don't
+	// lead to the wanted homes, as with an agent that is reached one way only.
+	maxFruitless = 5
 	// platformInterval is the shortest time between two reads of the platform,
 	// and platformBackoff the longest while it fails.
 	platformInterval = time.Second
@@ -46,6 +49,8 @@
 	blockedID    booking.RosterID
 	blockedSince model.Instant
 	differsSince model.Instant
+	// fruitless counts the changes since the roster was as wanted.
+	fruitless int
 	refreshed    model.Instant
 	nextPlatform model.Instant
 	backoff      time.Duration
@@ -103,12 +108,13 @@
 func (r *rosters) due(now model.Instant, roster booking.Roster, members, wanted []booking.Member) bool {
 	if slices.Equal(roster.Members, wanted) && !r.keeper.unwell.Load() {
 		r.differsSince = 0
+		r.fruitless = 0
 		return false
 	}
 	if r.differsSince == 0 {
 		r.differsSince = now
 	}
-	wait := settleTime + time.Duration(r.turn(roster, members))*stagger
+	wait := settleTime<<min(r.fruitless, maxFruitless) + time.Duration(r.turn(roster, members))*stagger
 	if r.keeper.leaving.Load() || roster.ID.Epoch == 0 {
 		wait = 0
 	}
@@ -208,6 +214,7 @@
 	}
 	r.keeper.unwell.Store(false)
 	r.differsSince = 0
+	r.fruitless++
 	r.keeper.adopt(next)
 	r.notify(ctx, old, next)
 }
