--- a/internal/booking/claims/rosters.go
+++ b/internal/booking/claims/rosters.go
@@ -50,7 +50,7 @@
 	blockedSince model.Instant
 	differsSince model.Instant
 	// fruitless counts the changes since the roster was as wanted.
-	fruitless int
+	fruitless    int
 	refreshed    model.Instant
 	nextPlatform model.Instant
 	backoff      time.Duration
