--- a/internal/operator/editor_test.go
+++ b/internal/operator/editor_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +34,11 @@
 	editor.now = func() time.Time { return someTime }
 	editor.newID = newID
 	editor.pause = func(context.Context, int) error { return nil }
+	editor.run = func(tasks []func()) {
+		for _, task := range tasks {
+			task()
+		}
+	}
 	return editor
 }
 
@@ -141,7 +148,7 @@
 		return memstore.None
 	}
 	return rapid.SampledFrom([]memstore.Fault{
-		memstore.Unavailable, memstore.Dropped, memstore.Lost, memstore.Delayed, memstore.Death,
+		memstore.Unavailable, memstore.OverBudget, memstore.Dropped, memstore.Lost, memstore.Delayed, memstore.Death,
 	}).Draw(w.t, "fault")
 }
 
@@ -159,7 +166,9 @@
 		w.store.Flush()
 		final := calmEditor(&w.store)
 		// The first command after a death completes the trail.
-		state, err := readState(ctx, w.store.View(calm), final.trail)
+		_, err := final.readState(ctx, model.DocumentCustomers, model.DocumentPlans, model.DocumentOut)
+		require.NoError(t, err)
+		state, err := ReadDocuments(ctx, w.store.View(calm))
 		require.NoError(t, err)
 		accepted := w.acceptedEntries(state)
 		w.checkTold(accepted)
@@ -282,6 +291,64 @@
 	}
 }
 
+// Operators take zones out at the same moment, each in a process of its own,
+// while every fifth answer of a write is lost. No zone is lost under another.
+func TestZonesOutAtOnce(t *testing.T) {
+	var store memstore.Store
+	var puts atomic.Int64
+	var running sync.WaitGroup
+	const operators = 8
+	faults := make([]error, operators)
+	for i := range operators {
+		editor := NewEditor(store.View(func(call string) memstore.Fault {
+			if call == "put" && puts.Add(1)%5 == 0 {
+				return memstore.Lost
+			}
+			return memstore.None
+		}), fmt.Sprint("operator ", i))
+		running.Go(func() { _, faults[i] = editor.SetZone(ctx, model.Zone(fmt.Sprint(i)), true) })
+	}
+	running.Wait()
+	require.NoError(t, errors.Join(faults...))
+	held, err := readHeld(ctx, store.View(calm), model.DocumentOut)
+	require.NoError(t, err)
+	require.Len(t, held.Document.Content.(plan.Out).Zones, operators)
+	require.Equal(t, model.Revision(operators), held.Revision)
+	report, err := Audit(ctx, store.View(calm), func(audit.Entry) bool { return true })
+	require.NoError(t, err)
+	require.Len(t, report.Entries, operators)
+}
+
+// balsamctl dies right after the document was accepted: the trail is one entry
+// short and says so, and the next command completes it in the dead one's name.
+func TestDeathBeforeTheAuditWrite(t *testing.T) {
+	var store memstore.Store
+	puts := 0
+	dying := testEditor(store.View(func(call string) memstore.Fault {
+		if call == "put" {
+			puts++
+		}
+		if puts == 2 {
+			return memstore.Unavailable
+		}
+		return memstore.None
+	}), func() string { return "dying" })
+	result, err := dying.SetZone(ctx, "a", true)
+	require.NoError(t, err)
+	require.Contains(t, result.Unrecorded, "unavailable")
+	all := func(audit.Entry) bool { return true }
+	report, err := Audit(ctx, store.View(calm), all)
+	require.NoError(t, err)
+	require.Equal(t, []string{"out"}, report.Pending)
+	_, err = calmEditor(&store).SetZone(ctx, "a", true)
+	require.NoError(t, err)
+	report, err = Audit(ctx, store.View(calm), all)
+	require.NoError(t, err)
+	require.Empty(t, report.Pending)
+	require.Len(t, report.Entries, 1)
+	require.Equal(t, "dying", report.Entries[0].ChangeID)
+}
+
 func TestLoserOfARaceSeesTheDifference(t *testing.T) {
 	var store memstore.Store
 	first := calmEditor(&store)
@@ -310,6 +377,46 @@
 	require.Equal(t, ReasonRevision, refusal.Reason)
 }
 
+// Each list has a key of its own, so one operator can remove the plan that
+// another one moves a customer to. Then the later of them is told.
+func TestCustomerOnAMissingPlanIsTold(t *testing.T) {
+	var store memstore.Store
+	first := calmEditor(&store)
+	_, err := first.Apply(ctx, []plan.Content{customers("p"), plans(5, "p", "q")}, Conditions{})
+	require.NoError(t, err)
+	require.NoError(t, Dangling(ctx, store.View(calm)))
+	raced := false
+	second := testEditor(store.View(func(call string) memstore.Fault {
+		if call == "put" && !raced {
+			raced = true
+			_, err := first.Apply(ctx, []plan.Content{plans(5, "p")}, Conditions{})
+			require.NoError(t, err)
+		}
+		return memstore.None
+	}), func() string { return "second" })
+	_, err = second.Apply(ctx, []plan.Content{customers("q")}, Conditions{})
+	require.NoError(t, err)
+	require.ErrorContains(t, Dangling(ctx, store.View(calm)), `customers[0].plan: "q"`)
+}
+
+// The header of a document has room for its changes beside the largest list,
+// also where JSON makes every character six times as long.
+func TestLargestChangeFitsTheDocument(t *testing.T) {
+	var store memstore.Store
+	editor := calmEditor(&store)
+	wide := plan.Name(strings.Repeat("&", 120))
+	list := customers()
+	for size := 0; size < plan.MaxContentSize-3000; {
+		name := model.Customer(fmt.Sprint(strings.Repeat("<", 120), len(list.Customers)))
+		list.Customers = append(list.Customers, plan.Customer{Name: name, Plan: wide})
+		body, err := plan.EncodeContent(list)
+		require.NoError(t, err)
+		size = len(body)
+	}
+	_, err := editor.Apply(ctx, []plan.Content{list, plans(1, string(wide))}, Conditions{})
+	require.NoError(t, err)
+}
+
 func TestCutBelowUseNeedsConfirmation(t *testing.T) {
 	var store memstore.Store
 	editor := calmEditor(&store)
