Notice a target that drains, ends and comes back

An answer that says that the target drains was overruled by the next answer of its health endpoint, which may lag, and a target that was replaced while its agent offered nothing kept the limit of the old one. A signal in an answer now lasts for 30 s, and an absence, found by an offer, the health check or a bare connection, ends the drain and makes the target a new one with a limit of one. Unknown fields in the plug-in's settings are refused by name.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -239,6 +239,12 @@
 	return c.advance(now)
 }
 
+// Restart tells that the target was absent, so that it is a new one.
+func (c *Controller) Restart(now model.Instant) []Effect {
+	c.forget(now)
+	return c.advance(now)
+}
+
 // Withdraw removes a request that waits no longer.
 func (c *Controller) Withdraw(now model.Instant, id ID) []Effect {
 	c.queue.remove(id)
@@ -348,9 +354,13 @@
 
 // restart treats the target as new and leaves it alone for a while.
 func (c *Controller) restart(now model.Instant) {
+	c.forget(now)
+	c.hold(now)
+}
+
+func (c *Controller) forget(now model.Instant) {
 	c.learner = newLearner(c.config.Slots, now)
 	c.carry()
-	c.hold(now)
 }
 
 func (c *Controller) hold(now model.Instant) {
--- a/internal/request/failure_test.go
+++ b/internal/request/failure_test.go
@@ -266,6 +266,22 @@
 	}
 }
 
+// TestTargetThatDrainsAndComesBack checks that its own signal keeps new work
+// away although nothing else says so, and that it comes back as a new target.
+func TestTargetThatDrainsAndComesBack(t *testing.T) {
+	double, module := startTarget(t, warm)
+	server, handler := serveHandler(t, Config{Target: module})
+	double.SetFault(standin.Fault{Draining: true})
+	for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		response, _, err := ask(t, http.MethodGet, server.URL+answer.PathFile+"?size=1", nil)
+		require.NoError(t, err)
+		require.Equal(t, want, response.StatusCode)
+	}
+	require.True(t, handler.Load().Draining)
+	double.Close()
+	eventually(t, func() bool { return !handler.Load().Draining && handler.Load().Cold })
+}
+
 func TestDrainTakesNoNewWork(t *testing.T) {
 	double, module := startTarget(t, warm)
 	server, handler := serveHandler(t, Config{Target: module})
--- a/internal/request/gate.go
+++ b/internal/request/gate.go
@@ -17,6 +17,7 @@
 	gateWithdraw
 	gateAnswered
 	gateFinish
+	gateRestart
 )
 
 // gateEvent is one message to the goroutine that owns the admission.
@@ -35,6 +36,8 @@
 	once   sync.Once
 	nextID atomic.Uint64
 	load   atomic.Pointer[admission.Load]
+	// absences is the number of the target's absences that are known.
+	absences atomic.Uint64
 
 	controller *admission.Controller
 	waiters    map[admission.ID]chan admission.Effect
@@ -98,6 +101,8 @@
 		g.tell(g.controller.Answered(now, id))
 	case gateFinish:
 		g.tell(g.controller.Finish(now, id, event.result))
+	case gateRestart:
+		g.tell(g.controller.Restart(now))
 	case gateWithdraw:
 		g.withdraw(now, id)
 	}
@@ -132,6 +137,13 @@
 	}
 }
 
+// noteAbsences treats the target as new when it was absent since.
+func (g *gate) noteAbsences(absences uint64) {
+	if known := g.absences.Load(); absences > known && g.absences.CompareAndSwap(known, absences) {
+		g.send(gateEvent{kind: gateRestart})
+	}
+}
+
 // notAdmitted is the error of a request that got no slot.
 type notAdmitted struct {
 	reason admission.Reason
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -156,7 +156,9 @@
 	h.mu.Lock()
 	draining := h.draining
 	h.mu.Unlock()
-	return !draining && !h.config.Target.Hints().Draining
+	hints := h.config.Target.Hints()
+	h.gate.noteAbsences(hints.Absences)
+	return !draining && !hints.Draining
 }
 
 func (h *Handler) enter() {
--- a/internal/target/http1/http1.go
+++ b/internal/target/http1/http1.go
@@ -2,13 +2,15 @@
 package http1
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,6 +25,9 @@
 	defaultHealthPoll = 500 * time.Millisecond
 	maxHealthBody     = 4 << 10
 	maxSlots          = 10_000
+	// drainLasts is how long an answer that says so makes a target drain although
+	// its health endpoint, which may lag, says otherwise.
+	drainLasts = 30 * time.Second
 )
 
 // DrainHeader is the answer header by which a target says that it drains.
@@ -58,18 +63,25 @@
 	settings Settings
 	log      *logrus.Entry
 	client   *offer.Client
-	hints    atomic.Pointer[target.Hints]
 	stop     context.CancelFunc
 	stopped  chan struct{}
+
+	mu    sync.Mutex
+	hints target.Hints
+	// drainSaid is when an answer last said that the target drains.
+	drainSaid time.Time
+	absent    bool
 }
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(env kernel.Env, settings json.RawMessage) error {
-	if err := json.Unmarshal(settings, &m.settings); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(settings))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&m.settings); err != nil {
 		return target.Error.New("http1 settings: %v", err)
 	}
 	m.log = env.Log
-	m.hints.Store(&target.Hints{Healthy: true})
+	m.hints = target.Hints{Healthy: true}
 	m.client = offer.New(dial)
 	return nil
 }
@@ -120,11 +132,16 @@
 func (m *Module) Slots() int { return m.settings.Slots }
 
 // Hints implements target.Target.
-func (m *Module) Hints() target.Hints { return *m.hints.Load() }
+func (m *Module) Hints() target.Hints {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hints
+}
 
 // Offer implements target.Target.
 func (m *Module) Offer(ctx context.Context, request *http.Request) (*http.Response, error) {
 	response, err := m.client.Do(ctx, m.settings.Address.String(), request)
+	m.noteReached(err)
 	if err != nil {
 		return nil, target.Error.Wrap(err)
 	}
@@ -132,20 +149,36 @@
 	return response, nil
 }
 
+// noteDrain takes note of an answer that says that the target drains.
 func (m *Module) noteDrain(response *http.Response) {
 	if response.Header.Get(DrainHeader) != DrainValue {
 		return
 	}
-	hints := m.Hints()
-	hints.Draining = true
-	m.hints.Store(&hints)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.drainSaid = time.Now()
+	m.hints.Draining = true
+}
+
+// noteReached takes note of whether anybody accepts connections. A target that
+// was absent has ended its drain.
+func (m *Module) noteReached(err error) {
+	var failure *offer.Failure
+	refused := errors.As(err, &failure) && failure.Refused
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if refused && !m.absent {
+		m.hints.Absences++
+		m.hints.Draining = false
+		m.drainSaid = time.Time{}
+	}
+	if refused || err == nil {
+		m.absent = refused
+	}
 }
 
 func (m *Module) pollHealth(ctx context.Context) {
 	defer close(m.stopped)
-	if m.settings.HealthPath == "" {
-		return
-	}
 	interval := time.Duration(m.settings.HealthIntervalMs) * time.Millisecond
 	if interval == 0 {
 		interval = defaultHealthPoll
@@ -153,12 +186,7 @@
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
-		hints := m.askHealth(ctx, interval)
-		if old := m.Hints(); old != hints && ctx.Err() == nil {
-			m.log.WithFields(logrus.Fields{"healthy": hints.Healthy, "draining": hints.Draining}).
-				Info("event=target_hints_changed")
-		}
-		m.hints.Store(&hints)
+		m.checkHealth(ctx, max(interval, dialTimeout))
 		select {
 		case <-ctx.Done():
 			return
@@ -167,30 +195,61 @@
 	}
 }
 
-func (m *Module) askHealth(ctx context.Context, interval time.Duration) target.Hints {
-	ctx, cancel := context.WithTimeout(ctx, max(interval, dialTimeout))
+// checkHealth asks the health endpoint, or without one only whether anybody
+// accepts connections.
+func (m *Module) checkHealth(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	unhealthy := target.Hints{Draining: m.Hints().Draining}
+	if m.settings.HealthPath == "" {
+		m.checkPresence(ctx)
+		return
+	}
+	healthy, draining, err := m.askHealth(ctx)
+	m.noteReached(err)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.hints
+	m.hints.Healthy = healthy
+	if err == nil {
+		m.hints.Draining = draining || time.Since(m.drainSaid) < drainLasts
+	}
+	if before != m.hints {
+		m.log.WithFields(logrus.Fields{"healthy": healthy, "draining": m.hints.Draining}).
+			Info("event=target_hints_changed")
+	}
+}
+
+func (m *Module) checkPresence(ctx context.Context) {
+	conn, err := dial(ctx, "tcp", m.settings.Address.String())
+	if err == nil {
+		conn.Close()
+	} else if ctx.Err() == nil {
+		err = &offer.Failure{Refused: true, Cause: err}
+	}
+	m.noteReached(err)
+}
+
+func (m *Module) askHealth(ctx context.Context) (healthy, draining bool, err error) {
 	address := m.settings.Address.String()
 	request, err := http.NewRequest(http.MethodGet, "http://"+address+m.settings.HealthPath, nil)
 	if err != nil {
-		return unhealthy
+		return false, false, target.Error.Wrap(err)
 	}
 	response, err := m.client.Do(ctx, address, request)
 	if err != nil {
-		return unhealthy
+		return false, false, target.Error.Wrap(err)
 	}
 	defer response.Body.Close()
-	var health struct {
-		State string `json:"state"`
-	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxHealthBody))
 	if err != nil {
-		return unhealthy
+		return false, false, target.Error.Wrap(err)
+	}
+	var health struct {
+		State string `json:"state"`
 	}
 	_ = json.Unmarshal(body, &health) // a body of another form carries no state
-	draining := health.State == DrainValue || response.Header.Get(DrainHeader) == DrainValue
-	return target.Hints{Healthy: response.StatusCode == http.StatusOK, Draining: draining}
+	draining = health.State == DrainValue || response.Header.Get(DrainHeader) == DrainValue
+	return response.StatusCode == http.StatusOK, draining, nil
 }
 
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
