Judge answer times by their trimmed mean, and suspect cold ones earlier

Windows are compared by the mean without the fifth at each end. The limit now grows in eight steps whatever the slots.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -167,4 +167,7 @@
 	require.Equal(t, 1, c.Load().Limit)
 	require.Empty(t, c.Arrive(now, Request{ID: 2}), "waits for the end of the pause")
 	require.True(t, c.Tick(now.Add(firstPause))[0].Granted)
+	c.learner.limit = 4
+	c.Restart(now)
+	require.Equal(t, 1, c.Load().Limit, "a target that was absent is a new one")
 }
--- a/internal/admission/learner.go
+++ b/internal/admission/learner.go
@@ -36,7 +36,7 @@
 	// suspiciousRatio and suspiciousExtra tell how much slower than usual an
 	// answer is when the target may have turned cold.
 	suspiciousRatio = 2.0
-	suspiciousExtra = 10 * time.Millisecond
+	suspiciousExtra = 5 * time.Millisecond
 	// suspiciousDeviations is the same in mean deviations, for kinds of requests
 	// whose times vary.
 	suspiciousDeviations = 6
@@ -50,10 +50,14 @@
 	// streamWindows is the number of cold windows in which streams take up the
 	// limit, so that nothing can be learnt, before it grows all the same.
 	streamWindows = 5
+	// windowTimes is the number of answer times that are kept for a window.
+	windowTimes = 128
+	// trimmedPart is the part of them, from 1, that is left out at each end.
+	trimmedPart = 5
 	// shortestTime stands for answer times below it, in seconds.
 	shortestTime = 1e-6
-	// slotsPerStep divides the slots into steps of growth.
-	slotsPerStep = 8
+	// growthSteps is the number of steps in which the limit grows to the slots.
+	growthSteps = 8
 )
 
 // phase is what the learner takes the target for.
@@ -79,12 +83,33 @@
 	previous  window
 }
 
+// window holds the latest answer times of one kind, in seconds.
 type window struct {
-	sum     float64
+	times   []float64
 	samples int
 }
 
-func (w window) mean() float64 { return w.sum / float64(w.samples) }
+func (w *window) add(seconds float64) {
+	if len(w.times) < windowTimes {
+		w.times = append(w.times, seconds)
+	} else {
+		w.times[w.samples%windowTimes] = seconds
+	}
+	w.samples++
+}
+
+// middle returns the mean without the largest and the smallest times, so that a
+// pause of the machine moves it little.
+func (w *window) middle() float64 {
+	sorted := slices.Sorted(slices.Values(w.times))
+	cut := len(sorted) / trimmedPart
+	sorted = sorted[cut : len(sorted)-cut]
+	var sum float64
+	for _, seconds := range sorted {
+		sum += seconds
+	}
+	return sum / float64(len(sorted))
+}
 
 // learner finds the limit of one target from its answer times.
 type learner struct {
@@ -151,8 +176,7 @@
 	}
 	k := &l.kinds[kind]
 	seconds := max(took.Seconds(), shortestTime)
-	k.current.sum += seconds
-	k.current.samples++
+	k.current.add(seconds)
 	l.windowSamples++
 	if l.phase == phaseVerify && k.samples >= usualSamples {
 		l.ratios = append(l.ratios, seconds/k.usual)
@@ -212,9 +236,8 @@
 	for i := range l.kinds {
 		k := &l.kinds[i]
 		if k.current.samples > 0 {
-			k.previous = k.current
+			k.previous, k.current = k.current, window{times: k.previous.times[:0]}
 		}
-		k.current = window{}
 	}
 	l.windowStart = now
 	l.windowSamples = 0
@@ -329,7 +352,7 @@
 
 // grow raises the limit by a step; a warm target's limit doubles.
 func (l *learner) grow() {
-	step := min(l.limit, max(1, l.slots/slotsPerStep))
+	step := min(l.limit, (l.slots+growthSteps-1)/growthSteps)
 	if !l.cold() {
 		step = l.limit
 	}
@@ -344,7 +367,7 @@
 		k.usual = 0
 		k.deviation = 0
 		if k.current.samples > 0 {
-			k.usual = k.current.mean()
+			k.usual = k.current.middle()
 			k.samples = min(k.current.samples, usualSamples)
 			k.deviation = k.usual / 4
 		}
@@ -374,7 +397,7 @@
 		if n == 0 {
 			continue
 		}
-		sum += n * math.Log(k.current.mean()/k.previous.mean())
+		sum += n * math.Log(k.current.middle()/k.previous.middle())
 		weight += n
 	}
 	if weight == 0 {
@@ -392,7 +415,7 @@
 			continue
 		}
 		n := float64(k.current.samples)
-		sum += n * k.current.mean() / k.usual
+		sum += n * k.current.middle() / k.usual
 		weight += n
 	}
 	if weight == 0 {
--- a/internal/request/failure_test.go
+++ b/internal/request/failure_test.go
@@ -279,7 +279,7 @@
 	}
 	require.True(t, handler.Load().Draining)
 	double.Close()
-	eventually(t, func() bool { return !handler.Load().Draining && handler.Load().Cold })
+	eventually(t, func() bool { return !handler.Load().Draining && handler.gate.absences.Load() == 1 })
 }
 
 func TestDrainTakesNoNewWork(t *testing.T) {
