Answer small packets of lost flows with a stateless reset too

Cause: flows of a killed agent hung for 30 s. Balancers handed 34 of their packets to other agents, but QUIC answers none of 42 bytes or less, and a caller that only waits sends 37-byte probes. Change: the agent makes stateless resets itself, with the tokens that QUIC gave to callers, for packets that balancers mark as gone and for connection IDs of an earlier start of the agent at the same address. Conclusion: a dead agent's flows fail at their caller's next packet.

--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -78,8 +78,13 @@
 	}
 	bound := socket.LocalAddr().(*net.UDPAddr).AddrPort()
 	place := steering.Place{Agent: unmap(bound), Zone: config.Zone.Tag(), Service: config.Service.Tag()}
-	front := &Front{config: config, conn: newPacketConn(socket, config.Shared.DatagramKeys(), place, config.Requests)}
-	if err := front.openTransport(place); err != nil {
+	issuer, err := newIssuer(config.Shared, place)
+	if err != nil {
+		socket.Close()
+		return nil, err
+	}
+	front := &Front{config: config, conn: newPacketConn(socket, config.Shared, issuer, place, config.Requests)}
+	if err := front.openTransport(issuer); err != nil {
 		socket.Close()
 		return nil, err
 	}
@@ -137,20 +142,27 @@
 // OpenFlows returns the number of open flows.
 func (f *Front) OpenFlows() int64 { return f.open.Load() }
 
-func (f *Front) openTransport(place steering.Place) error {
-	sealer, err := steering.NewSealer(f.config.Shared.ConnectionIDKeys())
+// newIssuer makes the issuer of the agent's connection IDs. The counter starts
+// anywhere, so that the IDs of two starts of an agent differ.
+func newIssuer(shared keys.Shared, place steering.Place) (*steering.Issuer, error) {
+	sealer, err := steering.NewSealer(shared.ConnectionIDKeys())
 	if err != nil {
-		return Error.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
-	var seed [5]byte
+	var seed [4]byte
 	rand.Read(seed[:])
-	start := binary.BigEndian.Uint32(seed[:4])
+	start := binary.BigEndian.Uint32(seed[:])
+	return steering.NewIssuer(sealer, place, start, randomOctet), nil
+}
+
+func (f *Front) openTransport(issuer *steering.Issuer) error {
 	reset := quic.StatelessResetKey(f.config.Shared.Reset)
 	f.transport = &quic.Transport{
 		Conn:                  f.conn,
-		ConnectionIDGenerator: idGenerator{steering.NewIssuer(sealer, place, start, randomOctet)},
+		ConnectionIDGenerator: idGenerator{issuer},
 		StatelessResetKey:     &reset,
 	}
+	var err error
 	f.listener, err = f.transport.ListenEarly(f.tlsConfig(), &quic.Config{
 		HandshakeIdleTimeout:           handshakeIdleTime,
 		MaxIdleTimeout:                 maxIdleTime,
--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -259,6 +259,7 @@
 	m.counters.GaugeFunc("flows_open", "Open flows of callers.", m.front.OpenFlows)
 	m.counters.GaugeFunc("flows_handed", "Packets of new flows handed to the alternate.", read(&conn.handed))
 	m.counters.GaugeFunc("flows_returned", "Packets of new flows handed back.", read(&conn.returned))
+	m.counters.GaugeFunc("flows_reset", "Stateless resets sent for flows that this agent does not have.", read(&conn.resets))
 	m.counters.GaugeFunc("datagrams_out", "Packets sent to callers.", read(&conn.answers))
 	m.counters.GaugeFunc("datagrams_in", "Datagrams received, of any kind and even if dropped.", read(&conn.arrived))
 	for kind := wire.KindEstablished; kind < wire.KindAnswer; kind++ {
--- a/internal/agent/packetconn.go
+++ b/internal/agent/packetconn.go
@@ -12,6 +12,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/balsamlink/balsamlink/internal/keys"
 	"github.com/balsamlink/balsamlink/internal/model"
 	"github.com/balsamlink/balsamlink/internal/steering"
 	"github.com/balsamlink/balsamlink/internal/wire"
@@ -32,12 +33,13 @@
 	DropNoRoom
 	DropTooLarge
 	DropSendFailed
+	DropNoFlow
 	dropCount
 )
 
 // String returns the reason as it stands in metrics.
 func (d Drop) String() string {
-	names := [dropCount]string{"malformed", "forged", "wrong_service", "zone_out", "no_room", "too_large", "send_failed"}
+	names := [dropCount]string{"malformed", "forged", "wrong_service", "zone_out", "no_room", "too_large", "send_failed", "no_flow"}
 	return names[d]
 }
 
@@ -64,6 +66,9 @@
 	buffer    [wire.MaxDatagram + 1]byte
 
 	mu         sync.Mutex
+	issuer     *steering.Issuer
+	scratch    steering.Scratch
+	resetter   *resetter
 	writeCodec *wire.Codec
 	egress     *egress
 	chooser    *steering.Chooser
@@ -74,16 +79,20 @@
 	returned atomic.Uint64
 	dropped  [dropCount]atomic.Uint64
 	answers  atomic.Uint64
+	resets   atomic.Uint64
 }
 
-func newPacketConn(socket *net.UDPConn, keys []model.SharedKey, place steering.Place, flows Flows) *packetConn {
+func newPacketConn(socket *net.UDPConn, shared keys.Shared, issuer *steering.Issuer, place steering.Place, flows Flows) *packetConn {
+	datagramKeys := shared.DatagramKeys()
 	return &packetConn{
 		socket:     socket,
 		service:    place.Service,
 		zone:       place.Zone,
 		flows:      flows,
-		readCodec:  wire.NewCodec(keys),
-		writeCodec: wire.NewCodec(keys),
+		readCodec:  wire.NewCodec(datagramKeys),
+		writeCodec: wire.NewCodec(datagramKeys),
+		issuer:     issuer,
+		resetter:   newResetter(shared.Reset[:]),
 		egress:     newEgress(),
 		chooser:    steering.NewChooser(),
 	}
@@ -121,12 +130,50 @@
 		via = header.Via
 	}
 	c.egress.hear(now, via)
+	if c.isForeign(header.Kind, payload) {
+		c.reset(via, header, payload)
+		return netip.AddrPort{}, nil, false
+	}
 	if header.Kind.First() && !c.takes(now, from, via, header, payload) {
 		return netip.AddrPort{}, nil, false
 	}
 	return header.Caller, payload, true
 }
 
+// isForeign reports whether a packet belongs to a flow of another agent or of an
+// earlier start of this one.
+func (c *packetConn) isForeign(kind wire.Kind, payload []byte) bool {
+	if kind == wire.KindGone {
+		return true
+	}
+	if kind != wire.KindEstablished {
+		return false
+	}
+	id, form := steering.DestinationID(payload)
+	return form == steering.FormShort && !c.issuer.Issued(id, &c.scratch)
+}
+
+// reset answers a packet with a stateless reset. The caller holds the lock.
+func (c *packetConn) reset(via netip.AddrPort, header wire.Header, payload []byte) {
+	answer := c.resetter.answer(payload)
+	if answer == nil {
+		c.dropped[DropNoFlow].Add(1)
+		return
+	}
+	c.resets.Add(1)
+	c.send(via, c.answerHeader(header.Caller), answer)
+}
+
+func (c *packetConn) answerHeader(caller netip.AddrPort) wire.Header {
+	return wire.Header{
+		Kind:     wire.KindAnswer,
+		Service:  c.service,
+		Caller:   caller,
+		Revision: model.Revision(c.revision.Load()),
+		Zone:     c.zone,
+	}
+}
+
 func (c *packetConn) check(header wire.Header, err error) (Drop, bool) {
 	switch {
 	case errors.Is(err, wire.ErrForged):
@@ -211,15 +258,8 @@
 		c.dropped[DropSendFailed].Add(1)
 		return len(p), nil
 	}
-	header := wire.Header{
-		Kind:     wire.KindAnswer,
-		Service:  c.service,
-		Caller:   unmap(udp.AddrPort()),
-		Revision: model.Revision(c.revision.Load()),
-		Zone:     c.zone,
-	}
 	c.answers.Add(1)
-	c.send(balancer, header, p)
+	c.send(balancer, c.answerHeader(unmap(udp.AddrPort())), p)
 	return len(p), nil
 }
 
--- /dev/null
+++ b/internal/agent/reset.go
@@ -0,0 +1,53 @@
+package agent
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"hash"
+
+	"github.com/balsamlink/balsamlink/internal/steering"
+)
+
+// The sizes of a stateless reset (RFC 9000, 10.3), in bytes.
+const (
+	resetTokenSize = 16
+	minResetSize   = 5 + resetTokenSize
+	maxResetSize   = 42
+	// The two highest bits of the first octet of a packet with a short header.
+	shortHeaderMask = 0x3f
+	shortHeaderBits = 0x40
+)
+
+// resetter makes stateless resets for flows that this agent does not have. QUIC
+// itself answers only packets of more than maxResetSize bytes, but a caller that
+// waits for an answer sends smaller ones. It is not safe for concurrent use.
+type resetter struct {
+	mac    hash.Hash
+	buffer [maxResetSize]byte
+}
+
+// newResetter makes a resetter with the key that all agents share. Its tokens
+// are those that QUIC gives to callers.
+func newResetter(key []byte) *resetter {
+	return &resetter{mac: hmac.New(sha256.New, key)}
+}
+
+// answer returns the reset for a packet, or nil when the packet has no short
+// header or is so small that it may be a reset itself. It is valid until the
+// next call.
+func (r *resetter) answer(packet []byte) []byte {
+	id, form := steering.DestinationID(packet)
+	size := min(len(packet)-1, maxResetSize)
+	if form != steering.FormShort || size < minResetSize {
+		return nil
+	}
+	reset := r.buffer[:size]
+	rand.Read(reset)
+	reset[0] = reset[0]&shortHeaderMask | shortHeaderBits
+	r.mac.Reset()
+	r.mac.Write(id)
+	token := r.mac.Sum(nil)
+	copy(reset[size-resetTokenSize:], token[:resetTokenSize])
+	return reset
+}
--- a/internal/steering/connid.go
+++ b/internal/steering/connid.go
@@ -111,8 +111,10 @@
 
 // Issuer makes the connection IDs of one agent. It is safe for concurrent use.
 type Issuer struct {
-	sealer  *Sealer
-	place   Place
+	sealer *Sealer
+	place  Place
+	// start is the counter before the first ID.
+	start   uint32
 	counter atomic.Uint32
 	random  func() byte
 }
@@ -120,7 +122,7 @@
 // NewIssuer makes an issuer for an agent. The counter starts at start; random
 // gives the first octet of each ID.
 func NewIssuer(sealer *Sealer, place Place, start uint32, random func() byte) *Issuer {
-	issuer := &Issuer{sealer: sealer, place: place, random: random}
+	issuer := &Issuer{sealer: sealer, place: place, start: start, random: random}
 	issuer.counter.Store(start)
 	return issuer
 }
@@ -132,3 +134,14 @@
 	err := i.sealer.Seal(&id, i.place, i.counter.Add(1), i.random())
 	return id, err
 }
+
+// Issued reports whether this issuer made a connection ID. It tells the IDs of
+// an earlier start of the agent at the same address apart.
+func (i *Issuer) Issued(id []byte, scratch *Scratch) bool {
+	place, ours := i.sealer.Open(id, i.place.Service, scratch)
+	if !ours || place != i.place {
+		return false
+	}
+	counter := binary.BigEndian.Uint32(scratch.plain[12:])
+	return counter-i.start-1 < i.counter.Load()-i.start
+}
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -164,6 +164,24 @@
 	})
 }
 
+func TestAnIssuerKnowsItsOwnIDs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		place := Place{Agent: agentAddr(1), Zone: zones[0].Tag(), Service: services[0].Tag()}
+		start := rapid.SampledFrom([]uint32{0, 7, math.MaxUint32 - 3}).Draw(t, "start")
+		octet := func() byte { return rapid.Byte().Draw(t, "octet") }
+		now := NewIssuer(sealer(t), place, start, octet)
+		before := NewIssuer(sealer(t), place, start+1000, octet)
+		for range rapid.IntRange(1, 10).Draw(t, "ids") {
+			id, err := now.Next()
+			require.NoError(t, err)
+			require.True(t, now.Issued(id[:], &Scratch{}))
+			old, err := before.Next()
+			require.NoError(t, err)
+			require.False(t, now.Issued(old[:], &Scratch{}))
+		}
+	})
+}
+
 func TestSharesFollowWeights(t *testing.T) {
 	var targets []Target
 	total := 0
