--- a/internal/platform/httpkv/call.go
+++ b/internal/platform/httpkv/call.go
@@ -150,7 +150,7 @@
 
 // rotate goes on to the next address unless another call already did.
 func (c *client) rotate(index uint32) {
-	if c.address.CompareAndSwap(index, index+1) {
+	if len(c.settings.Addresses) > 1 && c.address.CompareAndSwap(index, index+1) {
 		c.metrics.rotations.Inc()
 	}
 }
