--- a/internal/ledger/rates_test.go
+++ b/internal/ledger/rates_test.go
@@ -56,6 +56,28 @@
 	return waiting
 }
 
+// rush uses all that the rate allows for some seconds, on one agent after the
+// other.
+func (m *rateMachine) rush(t *rapid.T) {
+	account := m.account(t)
+	for range rapid.IntRange(1, 30).Draw(t, "rounds") {
+		for _, agent := range m.agents {
+			m.rushOn(agent, account)
+		}
+	}
+}
+
+func (m *rateMachine) rushOn(agent *testAgent, account Account) {
+	waiting := m.take(agent, 20, func() Decision { return agent.holder.Acquire(m.now, account) })
+	m.advance(100 * time.Millisecond)
+	m.find(agent, m.keepers[len(m.keepers)-1])
+	waiting = m.take(agent, waiting, func() Decision { return agent.holder.Retry(m.now, account) })
+	for range waiting {
+		agent.holder.Leave(m.now, account)
+	}
+	m.release(agent, 4)
+}
+
 // pulse is one exchange with the newest keeper, some 50 ms after the last.
 func (m *rateMachine) pulse(t *rapid.T, agent *testAgent) {
 	m.advance(50 * time.Millisecond)
@@ -82,7 +104,6 @@
 }
 
 func (m *rateMachine) find(agent *testAgent, keeper *testKeeper) {
-	agent.holder.Failed(m.now, testShard)
 	if request, due := agent.holder.Next(m.now, testShard); due {
 		reply, err := keeper.shard.Exchange(m.now, m.terms(), request, true)
 		if err == nil {
@@ -121,7 +142,7 @@
 // replies get lost or late, agents die and keepers follow each other.
 func TestRatesAndSlotsStayWithinTheirBounds(t *testing.T) {
 	require.NoError(t, flag.Set("rapid.checks", "500"))
-	require.NoError(t, flag.Set("rapid.steps", "100"))
+	require.NoError(t, flag.Set("rapid.steps", "50"))
 	rapid.Check(t, func(t *rapid.T) {
 		m := newRateMachine(rapid.SampledFrom([]uint32{25, 1000}).Draw(t, "slots"))
 		t.Repeat(map[string]func(*rapid.T){
@@ -129,8 +150,9 @@
 			"work":      m.work,
 			"work2":     m.work,
 			"work3":     m.work,
+			"rush":      m.rush,
+			"rush2":     m.rush,
 			"pulseAll":  m.pulseAll,
-			"pulseAll2": m.pulseAll,
 			"replace":   m.replace,
 			"lateReply": m.lateReply,
 			"kill":      m.kill,
