Bound how long tokens may come back, and how often agents poll

Cause: the overshoot that the test of rates found. Tokens come back only within a term and a delay of their grant, and an agent polls a used-up rate as often as the bucket fills.

--- a/internal/ledger/grant.go
+++ b/internal/ledger/grant.go
@@ -21,7 +21,10 @@
 	// scarceSlots marks in-flight slots as scarce from 1/scarceSlots of the plan.
 	scarceSlots = 2
 
-	minRetry   = 150 * time.Millisecond
+	// minRetry and maxPoll bound the time to the next try while a rate is used up.
+	minRetry = 100 * time.Millisecond
+	maxPoll  = 250 * time.Millisecond
+
 	slotRetry  = 40 * time.Millisecond
 	unitsRetry = time.Second
 	// ceilingRetry is when to ask again while the platform takes no writes.
@@ -33,7 +36,7 @@
 	return max(a.UnitsPerMonth/aheadFraction, uint64(math.Ceil(a.RequestsPerSecond)), 1)
 }
 
-func (s *Shard) grant(now Moment, terms Terms, node model.NodeID, agent *agentState, want Want) Grant {
+func (s *Shard) grant(now Moment, terms Terms, node model.NodeID, want Want) Grant {
 	grant := Grant{Month: want.Month, Account: want.Account}
 	allowance, allowed := terms.Allowances.Allowance(want.Account.Customer, want.Account.Service)
 	if !allowed {
@@ -48,7 +51,7 @@
 	grant.PlanUnits = allowance.UnitsPerMonth
 	agents := float64(max(terms.Agents(want.Account.Service), 1))
 	grant.ShareRate = float32(allowance.RequestsPerSecond / agents)
-	s.grantTokens(now, allowance, rate, agent, want, &grant)
+	s.grantTokens(now, allowance, rate, node, want, &grant)
 	s.grantSlots(now, allowance, rate, node, want, &grant)
 	s.grantUnits(now, allowance, want, &grant)
 	return grant
@@ -65,17 +68,18 @@
 }
 
 func (s *Shard) grantTokens(
-	now Moment, a plan.Allowance, rate *rateState, agent *agentState, want Want, grant *Grant,
+	now Moment, a plan.Allowance, rate *rateState, node model.NodeID, want Want, grant *Grant,
 ) {
 	term := tokenTerm(a)
-	if agent.seq > 0 && now.At.Sub(agent.seen) <= term+returnDelay {
-		rate.bucket.putBack(now.At, a, want.TokensBack)
-	}
+	granted := rate.granted[node].since(now.At.Add(-term - returnDelay))
+	granted, back := granted.takeBack(want.TokensBack)
+	rate.bucket.putBack(now.At, a, back)
 	grant.TermMS = milliseconds(term)
 	grant.Tokens = rate.bucket.take(now.At, a, want.Tokens)
+	rate.granted[node] = granted.add(tokenGrant{at: now.At, tokens: grant.Tokens})
 	if grant.Tokens < want.Tokens {
 		grant.Refused = ReasonRate
-		grant.RetryAfterMS = milliseconds(max(rate.bucket.nextToken(a), minRetry))
+		grant.RetryAfterMS = milliseconds(rate.bucket.retryAfter(a))
 	}
 }
 
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -18,11 +18,11 @@
 	// unitTerm is how long units may be used after the keeper last answered.
 	unitTerm = 20 * time.Second
 	// quickRetry is the longest time to the next try that a request waits for.
-	quickRetry = 150 * time.Millisecond
+	quickRetry = 250 * time.Millisecond
 	// urgentSpacing and quietSpacing are the least times between two requests
 	// of a session, with and without a request or a peer that waits for it.
 	urgentSpacing = 20 * time.Millisecond
-	quietSpacing  = 100 * time.Millisecond
+	quietSpacing  = 50 * time.Millisecond
 )
 
 // Permit stands for one admitted request.
