Match returned tokens to their grants and bound what is out with the bucket

Cause: the stateful test of rates saw 242 requests in 10 s where 241.5 are allowed (plan 230, 5% above). Tokens that came back late were taken from a fresher grant that was still usable, and tokens out of the bucket did not count against its capacity, so holding and returning them let more pile up. Each returned token now names its exchange, and the level and the tokens out stay together below the capacity plus one term at the rate.

--- a/internal/ledger/bucket.go
+++ b/internal/ledger/bucket.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"math"
 	"time"
 
 	"github.com/balsamlink/balsamlink/internal/model"
@@ -19,14 +18,13 @@
 	returnDelay = 100 * time.Millisecond
 	minTerm     = 100 * time.Millisecond
 	maxTerm     = 2 * time.Second
-	// maxTokenGrants bounds the grants to one agent that tokens may come back from.
-	maxTokenGrants = 32
 )
 
 // bucket is a token bucket of one account.
 type bucket struct {
 	level  float64
 	filled model.Instant
+	out    outstanding
 }
 
 // capacity returns the most tokens that a bucket holds.
@@ -34,11 +32,11 @@
 	return max(float64(a.Burst), a.RequestsPerSecond*minFill.Seconds(), 1)
 }
 
-// tokenTerm returns how long granted tokens stay valid. Tokens that are used in
-// a rateWindow were granted at most one term before it, and tokens that come
-// back in it at most one term and returnDelay earlier still. So the use is at
-// most capacity + rate*(rateWindow+2*term+returnDelay), and the term keeps that
-// within maxOvershoot of burst + rate*rateWindow.
+// tokenTerm returns how long granted tokens stay valid. The level of the bucket
+// and the tokens that are out stay together below capacity + rate*(term +
+// returnDelay), so the use in any rateWindow is at most that and
+// rate*rateWindow. The term keeps it within maxOvershoot of burst +
+// rate*rateWindow.
 func tokenTerm(a plan.Allowance) time.Duration {
 	if a.RequestsPerSecond <= 0 {
 		return minTerm
@@ -46,7 +44,7 @@
 	allowed := float64(a.Burst) + a.RequestsPerSecond*rateWindow.Seconds()
 	spare := maxOvershoot*allowed - (capacity(a) - float64(a.Burst))
 	term := time.Duration(spare/a.RequestsPerSecond*float64(time.Second)) - returnDelay
-	return min(max(term/2, minTerm), maxTerm)
+	return min(max(term, minTerm), maxTerm)
 }
 
 func (b *bucket) fill(now model.Instant, a plan.Allowance) {
@@ -54,62 +52,27 @@
 		b.level += a.RequestsPerSecond * now.Sub(b.filled).Seconds()
 		b.filled = now
 	}
-	b.level = min(b.level, capacity(a))
+	returnable := tokenTerm(a) + returnDelay
+	b.out.expire(now.Add(-returnable))
+	spare := capacity(a) + a.RequestsPerSecond*returnable.Seconds() - float64(b.out.total)
+	b.level = max(min(b.level, capacity(a), spare), 0)
 }
 
-// take removes up to want whole tokens and returns how many.
-func (b *bucket) take(now model.Instant, a plan.Allowance, want uint32) uint32 {
+// take removes up to want whole tokens for a node and returns how many.
+func (b *bucket) take(now model.Instant, a plan.Allowance, node model.NodeID, seq uint64, want uint32) uint32 {
 	b.fill(now, a)
-	got := min(want, uint32(math.Max(b.level, 0)))
+	got := min(want, uint32(b.level))
 	b.level -= float64(got)
+	b.out.add(node, seq, now, got)
 	return got
 }
 
-// putBack returns unused tokens to the bucket.
-func (b *bucket) putBack(now model.Instant, a plan.Allowance, tokens uint32) {
-	b.level += float64(tokens)
+// putBack returns unused tokens of a node to the bucket. Tokens that were
+// granted too long ago are lost.
+func (b *bucket) putBack(now model.Instant, a plan.Allowance, node model.NodeID, back []TokensBack) {
+	b.fill(now, a)
+	b.level += float64(b.out.takeBack(node, back))
 	b.fill(now, a)
-}
-
-// tokenGrants are the tokens that one agent got and may give back, oldest first.
-type tokenGrants []tokenGrant
-
-type tokenGrant struct {
-	at     model.Instant
-	tokens uint32
-}
-
-// since drops the grants that were made before an instant.
-func (g tokenGrants) since(at model.Instant) tokenGrants {
-	for len(g) > 0 && g[0].at < at {
-		g = g[1:]
-	}
-	return g
-}
-
-// add notes a grant. The oldest one is forgotten when there are too many.
-func (g tokenGrants) add(grant tokenGrant) tokenGrants {
-	if grant.tokens == 0 {
-		return g
-	}
-	if len(g) == maxTokenGrants {
-		g = g[1:]
-	}
-	return append(g, grant)
-}
-
-// takeBack removes up to count tokens and returns how many were left to give back.
-func (g tokenGrants) takeBack(count uint32) (tokenGrants, uint32) {
-	var taken uint32
-	for len(g) > 0 && taken < count {
-		part := min(count-taken, g[0].tokens)
-		taken += part
-		g[0].tokens -= part
-		if g[0].tokens == 0 {
-			g = g[1:]
-		}
-	}
-	return g, taken
 }
 
 // retryAfter returns when to ask again after the bucket was emptied: when there
--- a/internal/ledger/demand.go
+++ b/internal/ledger/demand.go
@@ -10,6 +10,8 @@
 const (
 	demandTime = time.Second
 	peakTime   = time.Second
+	// maxBacks bounds the list of tokens to give back.
+	maxBacks = 16
 )
 
 // demand estimates the rate of requests from their arrivals, with an
@@ -59,27 +61,28 @@
 type tokenSlice struct {
 	count uint32
 	until model.Instant
+	// seq is the exchange that brought the tokens.
+	seq uint64
 }
 
-func (t *tokens) add(count uint32, until model.Instant) {
-	if count > 0 {
-		t.slices = append(t.slices, tokenSlice{count: count, until: until})
+func (t *tokens) add(slice tokenSlice) {
+	if slice.count > 0 {
+		t.slices = append(t.slices, slice)
 	}
 }
 
-// expire removes the tokens that are no longer valid and returns their number.
-func (t *tokens) expire(now model.Instant) uint32 {
-	var expired uint32
+// expire removes the tokens that are no longer valid and adds them to back.
+func (t *tokens) expire(now model.Instant, back []TokensBack) []TokensBack {
 	valid := t.slices[:0]
 	for _, slice := range t.slices {
 		if slice.until <= now {
-			expired += slice.count
+			back = append(back, TokensBack{Seq: slice.seq, Tokens: slice.count})
 			continue
 		}
 		valid = append(valid, slice)
 	}
 	t.slices = valid
-	return expired
+	return back[max(len(back)-maxBacks, 0):]
 }
 
 func (t *tokens) count() uint32 {
@@ -90,15 +93,16 @@
 	return count
 }
 
-// take uses the token that ends first and returns when it would have ended.
-func (t *tokens) take() (model.Instant, bool) {
+// take uses the token that ends first and returns it.
+func (t *tokens) take() (tokenSlice, bool) {
 	if len(t.slices) == 0 {
-		return 0, false
+		return tokenSlice{}, false
 	}
-	until := t.slices[0].until
+	token := t.slices[0]
+	token.count = 1
 	t.slices[0].count--
 	if t.slices[0].count == 0 {
 		t.slices = t.slices[1:]
 	}
-	return until, true
+	return token, true
 }
--- a/internal/ledger/grant.go
+++ b/internal/ledger/grant.go
@@ -23,7 +23,7 @@
 
 	// minRetry and maxPoll bound the time to the next try while a rate is used up.
 	minRetry = 100 * time.Millisecond
-	maxPoll  = 250 * time.Millisecond
+	maxPoll  = 200 * time.Millisecond
 
 	slotRetry  = 40 * time.Millisecond
 	unitsRetry = time.Second
@@ -36,11 +36,11 @@
 	return max(a.UnitsPerMonth/aheadFraction, uint64(math.Ceil(a.RequestsPerSecond)), 1)
 }
 
-func (s *Shard) grant(now Moment, terms Terms, node model.NodeID, want Want) Grant {
+func (s *Shard) grant(now Moment, terms Terms, req Request, want Want) Grant {
 	grant := Grant{Month: want.Month, Account: want.Account}
 	allowance, allowed := terms.Allowances.Allowance(want.Account.Customer, want.Account.Service)
 	if !allowed {
-		return s.refuse(node, grant)
+		return s.refuse(req.Node, grant)
 	}
 	rate := s.rate(now, want.Account)
 	if rate == nil {
@@ -51,8 +51,8 @@
 	grant.PlanUnits = allowance.UnitsPerMonth
 	agents := float64(max(terms.Agents(want.Account.Service), 1))
 	grant.ShareRate = float32(allowance.RequestsPerSecond / agents)
-	s.grantTokens(now, allowance, rate, node, want, &grant)
-	s.grantSlots(now, allowance, rate, node, want, &grant)
+	s.grantTokens(now, allowance, rate, req, want, &grant)
+	s.grantSlots(now, allowance, rate, req.Node, want, &grant)
 	s.grantUnits(now, allowance, want, &grant)
 	return grant
 }
@@ -68,15 +68,12 @@
 }
 
 func (s *Shard) grantTokens(
-	now Moment, a plan.Allowance, rate *rateState, node model.NodeID, want Want, grant *Grant,
+	now Moment, a plan.Allowance, rate *rateState, req Request, want Want, grant *Grant,
 ) {
 	term := tokenTerm(a)
-	granted := rate.granted[node].since(now.At.Add(-term - returnDelay))
-	granted, back := granted.takeBack(want.TokensBack)
-	rate.bucket.putBack(now.At, a, back)
+	rate.bucket.putBack(now.At, a, req.Node, want.Back)
 	grant.TermMS = milliseconds(term)
-	grant.Tokens = rate.bucket.take(now.At, a, want.Tokens)
-	rate.granted[node] = granted.add(tokenGrant{at: now.At, tokens: grant.Tokens})
+	grant.Tokens = rate.bucket.take(now.At, a, req.Node, req.Seq, want.Tokens)
 	if grant.Tokens < want.Tokens {
 		grant.Refused = ReasonRate
 		grant.RetryAfterMS = milliseconds(rate.bucket.retryAfter(a))
@@ -86,7 +83,7 @@
 func (s *Shard) grantSlots(
 	now Moment, a plan.Allowance, rate *rateState, node model.NodeID, want Want, grant *Grant,
 ) {
-	if rate.slots[node] == 0 && want.Held > 0 {
+	if want.Held > rate.slots[node] {
 		rate.lease(node, min(want.Held, a.InFlight))
 	}
 	held := rate.slots[node]
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -29,7 +29,7 @@
 type Permit struct {
 	Account Account
 	Month   Month
-	until   model.Instant
+	token   tokenSlice
 }
 
 // Decision tells what becomes of a request.
@@ -136,11 +136,11 @@
 		return Decision{Refused: ReasonNoKeeper, RetryAfter: unitsRetry}
 	}
 	if holding.missing() == ReasonNone {
-		until, _ := holding.tokens.take()
-		return Decision{Permit: holding.admit(now.At, until)}
+		token, _ := holding.tokens.take()
+		return Decision{Permit: holding.admit(now.At, token)}
 	}
 	if lost {
-		return lostDecision(now.At, holding)
+		return lostDecision(now.At, s.failed, holding)
 	}
 	return waitDecision(now.At, holding)
 }
@@ -161,9 +161,9 @@
 	return ReasonNone
 }
 
-func lostDecision(now model.Instant, holding *holding) Decision {
-	if holding.borrow(now) {
-		return Decision{Permit: holding.admit(now, 0)}
+func lostDecision(now, lost model.Instant, holding *holding) Decision {
+	if holding.borrow(now, lost) {
+		return Decision{Permit: holding.admit(now, tokenSlice{})}
 	}
 	if holding.units == 0 {
 		return Decision{Refused: ReasonNoKeeper, RetryAfter: unitsRetry}
@@ -190,8 +190,8 @@
 		holding.use(permit.Month).Served++
 		return
 	}
-	if permit.until > now.At {
-		holding.tokens.add(1, permit.until)
+	if permit.token.until > now.At {
+		holding.tokens.add(permit.token)
 	}
 	if permit.Month == holding.month && !h.closing {
 		holding.units++
@@ -306,7 +306,7 @@
 		s.holdings[grant.Account] = holding
 	}
 	holding.advance(now)
-	holding.apply(now, s.sent, grant)
+	holding.apply(now, s.sent, s.seq, grant)
 }
 
 // Failed tells that the current request of a shard found no keeper.
--- a/internal/ledger/holding.go
+++ b/internal/ledger/holding.go
@@ -29,8 +29,8 @@
 	// planUnits is the monthly allowance that the units were granted under.
 	planUnits uint64
 	tokens    tokens
-	// tokensBack is the number of tokens to give back.
-	tokensBack uint32
+	// tokensBack lists the tokens to give back.
+	tokensBack []TokensBack
 	term       time.Duration
 	held       uint32
 	open       uint32
@@ -82,7 +82,7 @@
 		h.giveBack(0)
 		h.month = month
 	}
-	h.tokensBack += h.tokens.expire(now.At)
+	h.tokensBack = h.tokens.expire(now.At, h.tokensBack)
 	h.peak.see(now.At, h.open)
 }
 
@@ -101,8 +101,12 @@
 }
 
 // borrow admits a request by the share of an agent whose keeper is not
-// reachable. It needs a unit and a slot in hand.
-func (h *holding) borrow(now model.Instant) bool {
+// reachable since an instant. It needs a unit and a slot in hand.
+func (h *holding) borrow(now, lost model.Instant) bool {
+	if h.share.filled < lost {
+		h.share.level = 0
+		h.share.filled = lost
+	}
 	h.share.level = min(h.share.level+h.shareRate*now.Sub(h.share.filled).Seconds(), shareBurst)
 	h.share.filled = now
 	if h.units == 0 || h.open >= h.held {
@@ -118,12 +122,12 @@
 	return true
 }
 
-func (h *holding) admit(now model.Instant, until model.Instant) Permit {
+func (h *holding) admit(now model.Instant, token tokenSlice) Permit {
 	h.units--
 	h.open++
 	h.demand.arrive(now)
 	h.peak.see(now, h.open)
-	return Permit{Account: h.account, Month: h.month, until: until}
+	return Permit{Account: h.account, Month: h.month, token: token}
 }
 
 // horizon returns how far ahead units are asked for.
@@ -183,7 +187,7 @@
 
 // due reports whether the keeper should be told or asked something now.
 func (h *holding) due(now model.Instant) bool {
-	if h.urgent(now) || h.tokensBack > 0 {
+	if h.urgent(now) || len(h.tokensBack) > 0 {
 		return true
 	}
 	if now < h.retryAt {
@@ -194,22 +198,22 @@
 
 // want forms the part of the next request that speaks of this holding.
 func (h *holding) want(now model.Instant, closing bool) Want {
-	want := Want{Month: h.month, Account: h.account, TokensBack: h.tokensBack, Slots: h.slotsWanted()}
+	want := Want{Month: h.month, Account: h.account, Back: h.tokensBack, Slots: h.slotsWanted()}
 	if now >= h.retryAt && !closing {
 		want.Tokens = h.tokensWanted(now)
 		want.Units = h.unitsWanted(now)
 	}
 	want.Held = h.held
-	h.tokensBack = 0
+	h.tokensBack = nil
 	h.held = min(h.held, want.Slots)
 	return want
 }
 
 // apply takes a grant that answers a request first sent at a time.
-func (h *holding) apply(now Moment, sent model.Instant, grant Grant) {
+func (h *holding) apply(now Moment, sent model.Instant, seq uint64, grant Grant) {
 	h.take(grant)
 	h.term = time.Duration(grant.TermMS) * time.Millisecond
-	h.tokens.add(grant.Tokens, sent.Add(h.term))
+	h.tokens.add(tokenSlice{count: grant.Tokens, until: sent.Add(h.term), seq: seq})
 	h.held = grant.Slots
 	h.scarceUnits = grant.ScarceUnits
 	h.scarceSlots = grant.ScarceSlots
--- /dev/null
+++ b/internal/ledger/outstanding.go
@@ -0,0 +1,60 @@
+package ledger
+
+import "github.com/balsamlink/balsamlink/internal/model"
+
+// outstanding are the granted tokens of one account that may still come back.
+type outstanding struct {
+	total  uint32
+	order  []*tokenGrant
+	byNode map[model.NodeID][]*tokenGrant
+}
+
+type tokenGrant struct {
+	node   model.NodeID
+	seq    uint64
+	at     model.Instant
+	tokens uint32
+}
+
+func (o *outstanding) add(node model.NodeID, seq uint64, at model.Instant, tokens uint32) {
+	if tokens == 0 {
+		return
+	}
+	if o.byNode == nil {
+		o.byNode = map[model.NodeID][]*tokenGrant{}
+	}
+	grant := &tokenGrant{node: node, seq: seq, at: at, tokens: tokens}
+	o.order = append(o.order, grant)
+	o.byNode[node] = append(o.byNode[node], grant)
+	o.total += tokens
+}
+
+// expire forgets the grants that were made before an instant.
+func (o *outstanding) expire(before model.Instant) {
+	for len(o.order) > 0 && o.order[0].at < before {
+		grant := o.order[0]
+		o.order = o.order[1:]
+		o.total -= grant.tokens
+		o.byNode[grant.node] = o.byNode[grant.node][1:]
+		if len(o.byNode[grant.node]) == 0 {
+			delete(o.byNode, grant.node)
+		}
+	}
+}
+
+// takeBack removes tokens of a node and returns how many of them were known.
+func (o *outstanding) takeBack(node model.NodeID, back []TokensBack) uint32 {
+	var taken uint32
+	for _, grant := range o.byNode[node] {
+		for _, tokens := range back {
+			if tokens.Seq != grant.seq {
+				continue
+			}
+			part := min(tokens.Tokens, grant.tokens)
+			grant.tokens -= part
+			taken += part
+		}
+	}
+	o.total -= taken
+	return taken
+}
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -34,7 +34,7 @@
 	maxAccounts = 8192
 	// learnTime is how long a new keeper lets agents tell their in-flight slots
 	// before it grants further ones.
-	learnTime = 2 * time.Second
+	learnTime = 3 * time.Second
 	// slotTerm is how long the slots of a silent agent stay reserved.
 	slotTerm = 30 * time.Second
 	// accountIdle is how long the rate of an unused account is remembered.
@@ -106,11 +106,10 @@
 
 // rateState holds the rate and the in-flight slots of one account.
 type rateState struct {
-	bucket  bucket
-	granted map[model.NodeID]tokenGrants
-	slots   map[model.NodeID]uint32
-	leased  uint32
-	used    model.Instant
+	bucket bucket
+	slots  map[model.NodeID]uint32
+	leased uint32
+	used   model.Instant
 }
 
 func (r *rateState) lease(node model.NodeID, slots uint32) {
@@ -176,7 +175,7 @@
 	s.metering.stage(now, req)
 	reply := Reply{Keeper: true, Fence: s.fence, Seq: req.Seq}
 	for _, want := range req.Wants {
-		reply.Grants = append(reply.Grants, s.grant(now, terms, req.Node, want))
+		reply.Grants = append(reply.Grants, s.grant(now, terms, req, want))
 	}
 	agent.seq = req.Seq
 	agent.reply = reply
@@ -290,9 +289,8 @@
 	rate := s.rates[account]
 	if rate == nil && len(s.rates) < maxAccounts {
 		rate = &rateState{
-			bucket:  bucket{filled: s.started},
-			granted: map[model.NodeID]tokenGrants{},
-			slots:   map[model.NodeID]uint32{},
+			bucket: bucket{filled: s.started},
+			slots:  map[model.NodeID]uint32{},
 		}
 		s.rates[account] = rate
 	}
@@ -313,7 +311,6 @@
 		}
 	}
 	for account, rate := range s.rates {
-		rate.forgetGrants(now.At)
 		if rate.leased == 0 && now.At.Sub(rate.used) > accountIdle {
 			delete(s.rates, account)
 		}
@@ -321,15 +318,6 @@
 	s.closeMonths(MonthsAt(now.Wall).First)
 }
 
-// forgetGrants drops what no tokens can come back from any more.
-func (r *rateState) forgetGrants(now model.Instant) {
-	for node, granted := range r.granted {
-		if len(granted.since(now.Add(-maxTerm-returnDelay))) == 0 {
-			delete(r.granted, node)
-		}
-	}
-}
-
 // closeMonths ends the grants of all months before first.
 func (s *Shard) closeMonths(first Month) {
 	s.closed = max(s.closed, first-1)
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -157,10 +157,10 @@
 type Want struct {
 	Month   Month
 	Account Account
-	// Tokens is the number of further rate tokens, and TokensBack the number
-	// that the agent gives back unused.
-	Tokens     uint32
-	TokensBack uint32
+	// Tokens is the number of further rate tokens, and Back lists those that the
+	// agent gives back unused.
+	Tokens uint32
+	Back   []TokensBack
 	// Units is the number of further units of the month.
 	Units uint32
 	// Held is the number of in-flight slots that the agent has, and Slots the
@@ -169,6 +169,12 @@
 	Slots uint32
 }
 
+// TokensBack gives back unused tokens of the grant in one exchange.
+type TokensBack struct {
+	Seq    uint64
+	Tokens uint32
+}
+
 // Reply is the keeper's answer.
 type Reply struct {
 	// Keeper reports whether the answering node keeps the shard. If not,
