Test that keepers in quick succession share one rate

Cause: a keeper that starts with a full bucket passed the stateful test. Seen failing with a full bucket at the start of a keeper.

--- a/internal/ledger/rates_test.go
+++ b/internal/ledger/rates_test.go
@@ -173,3 +173,20 @@
 		})
 	})
 }
+
+// TestKeepersInQuickSuccessionShareOneRate lets ten keepers follow each other
+// within a second, each asked for all it has.
+func TestKeepersInQuickSuccessionShareOneRate(t *testing.T) {
+	m := newRateMachine(1000)
+	granted := 0
+	for n := range uint64(10) {
+		m.takeOver()
+		m.advance(100 * time.Millisecond)
+		want := Want{Month: MonthOf(m.now.Wall), Account: Account{testCustomers[0], testService}, Tokens: 1000}
+		request := Request{Shard: testShard, Node: "agent-1", Incarnation: 1, Seq: n + 1, Wants: []Want{want}}
+		reply, err := m.keepers[len(m.keepers)-1].shard.Exchange(m.now, m.terms(), request, true)
+		require.NoError(t, err)
+		granted += int(reply.Grants[0].Tokens)
+	}
+	require.Equal(t, int(m.allowance.RequestsPerSecond), granted)
+}
