--- a/internal/admission/learner.go
+++ b/internal/admission/learner.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/balsamlink/balsamlink/internal/model"
@@ -28,14 +29,14 @@
 	// again, over warmWindows cold windows.
 	warmRatio   = 1.1
 	warmWindows = 2
-	// falseAlarmRatio is how much slower than usual the first answers may be
-	// when a target has not turned cold after all.
-	falseAlarmRatio   = 1.15
-	falseAlarmSamples = 3
+	// falseAlarmRatio is how much slower than usual the middle one of the first
+	// answers may be when a target has not turned cold after all.
+	falseAlarmRatio   = 1.3
+	falseAlarmSamples = 5
 	// suspiciousRatio and suspiciousExtra tell how much slower than usual an
 	// answer is when the target may have turned cold.
 	suspiciousRatio = 2.0
-	suspiciousExtra = 10 * time.Millisecond
+	suspiciousExtra = 5 * time.Millisecond
 	// suspiciousDeviations is the same in mean deviations, for kinds of requests
 	// whose times vary.
 	suspiciousDeviations = 6
@@ -49,10 +50,14 @@
 	// streamWindows is the number of cold windows in which streams take up the
 	// limit, so that nothing can be learnt, before it grows all the same.
 	streamWindows = 5
+	// windowTimes is the number of answer times that are kept for a window.
+	windowTimes = 128
+	// trimmedPart is the part of them, from 1, that is left out at each end.
+	trimmedPart = 5
 	// shortestTime stands for answer times below it, in seconds.
 	shortestTime = 1e-6
-	// slotsPerStep divides the slots into steps of growth.
-	slotsPerStep = 8
+	// growthSteps is the number of steps in which the limit grows to the slots.
+	growthSteps = 8
 )
 
 // phase is what the learner takes the target for.
@@ -78,12 +83,33 @@
 	previous  window
 }
 
+// window holds the latest answer times of one kind, in seconds.
 type window struct {
-	sum     float64
+	times   []float64
 	samples int
 }
 
-func (w window) mean() float64 { return w.sum / float64(w.samples) }
+func (w *window) add(seconds float64) {
+	if len(w.times) < windowTimes {
+		w.times = append(w.times, seconds)
+	} else {
+		w.times[w.samples%windowTimes] = seconds
+	}
+	w.samples++
+}
+
+// middle returns the mean without the largest and the smallest times, so that a
+// pause of the machine moves it little.
+func (w *window) middle() float64 {
+	sorted := slices.Sorted(slices.Values(w.times))
+	cut := len(sorted) / trimmedPart
+	sorted = sorted[cut : len(sorted)-cut]
+	var sum float64
+	for _, seconds := range sorted {
+		sum += seconds
+	}
+	return sum / float64(len(sorted))
+}
 
 // learner finds the limit of one target from its answer times.
 type learner struct {
@@ -102,6 +128,10 @@
 	idlePeak      int
 	// drifts holds the changes between the latest windows of a cold target.
 	drifts []float64
+	// before is the limit of a warm target before a sign of cold.
+	before int
+	// ratios compares the first answers after a sign of cold with the usual times.
+	ratios []float64
 	// steady counts windows without a change, and warm those at the usual time.
 	steady int
 	warm   int
@@ -146,9 +176,11 @@
 	}
 	k := &l.kinds[kind]
 	seconds := max(took.Seconds(), shortestTime)
-	k.current.sum += seconds
-	k.current.samples++
+	k.current.add(seconds)
 	l.windowSamples++
+	if l.phase == phaseVerify && k.samples >= usualSamples {
+		l.ratios = append(l.ratios, seconds/k.usual)
+	}
 	if l.phase == phaseVerify || l.phase == phaseCold {
 		return false
 	}
@@ -171,11 +203,16 @@
 
 // chill takes the limit down to one until answers show how the target is.
 func (l *learner) chill(now model.Instant) {
+	l.before = 1
+	if l.phase == phaseWarm {
+		l.before = l.limit
+	}
 	if l.phase != phaseNew {
 		l.phase = phaseVerify
 	}
 	l.since = now
 	l.limit = 1
+	l.ratios = l.ratios[:0]
 	l.startWindow(now)
 	l.forgetTrend()
 }
@@ -199,9 +236,8 @@
 	for i := range l.kinds {
 		k := &l.kinds[i]
 		if k.current.samples > 0 {
-			k.previous = k.current
+			k.previous, k.current = k.current, window{times: k.previous.times[:0]}
 		}
-		k.current = window{}
 	}
 	l.windowStart = now
 	l.windowSamples = 0
@@ -250,14 +286,25 @@
 		}
 	case phaseVerify:
 		l.phase = phaseCold
-		if l.ratio() <= falseAlarmRatio {
+		if l.falseAlarm() {
 			l.phase = phaseWarm
+			l.limit = l.before
 		}
 	default:
 		l.judgeCold(drift, compared, used)
 	}
 }
 
+// falseAlarm reports whether most of the first answers after a sign of cold came
+// in the usual time. A few slow ones show a pause, not a cold target.
+func (l *learner) falseAlarm() bool {
+	if len(l.ratios) == 0 {
+		return false
+	}
+	slices.Sort(l.ratios)
+	return l.ratios[len(l.ratios)/2] <= falseAlarmRatio
+}
+
 // judgeCold lets the limit of a cold target grow by a step when its answer
 // times neither rose nor are still falling.
 func (l *learner) judgeCold(drift float64, compared, used bool) {
@@ -305,7 +352,7 @@
 
 // grow raises the limit by a step; a warm target's limit doubles.
 func (l *learner) grow() {
-	step := min(l.limit, max(1, l.slots/slotsPerStep))
+	step := min(l.limit, (l.slots+growthSteps-1)/growthSteps)
 	if !l.cold() {
 		step = l.limit
 	}
@@ -320,7 +367,7 @@
 		k.usual = 0
 		k.deviation = 0
 		if k.current.samples > 0 {
-			k.usual = k.current.mean()
+			k.usual = k.current.middle()
 			k.samples = min(k.current.samples, usualSamples)
 			k.deviation = k.usual / 4
 		}
@@ -350,7 +397,7 @@
 		if n == 0 {
 			continue
 		}
-		sum += n * math.Log(k.current.mean()/k.previous.mean())
+		sum += n * math.Log(k.current.middle()/k.previous.middle())
 		weight += n
 	}
 	if weight == 0 {
@@ -368,7 +415,7 @@
 			continue
 		}
 		n := float64(k.current.samples)
-		sum += n * k.current.mean() / k.usual
+		sum += n * k.current.middle() / k.usual
 		weight += n
 	}
 	if weight == 0 {
--- a/internal/booking/claims/claims_test.go
+++ b/internal/booking/claims/claims_test.go
@@ -2,14 +2,8 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"io"
-	"math/big"
 	"net"
 	"net/http"
 	"slices"
@@ -25,6 +19,7 @@
 	"github.com/balsamlink/balsamlink/internal/platform"
 	"github.com/balsamlink/balsamlink/internal/request"
 	"github.com/balsamlink/balsamlink/internal/rpc"
+	"github.com/balsamlink/balsamlink/internal/standin/mutual"
 )
 
 // store is a platform of one key. The methods that aren't here aren't used.
@@ -33,6 +28,7 @@
 	mu    sync.Mutex
 	entry platform.Entry
 	down  bool
+	reads int
 	// lose makes the next write take effect with a lost answer.
 	lose bool
 }
@@ -40,6 +36,7 @@
 func (s *store) Get(context.Context, string) (platform.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
 	if s.down {
 		return platform.Entry{}, platform.Error.Wrap(platform.ErrUnavailable)
 	}
@@ -49,6 +46,12 @@
 	return s.entry, nil
 }
 
+func (s *store) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 func (s *store) Put(_ context.Context, w platform.Write) (platform.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -82,28 +85,10 @@
 	return slices.Clone(s.members)
 }
 
-func testTLS(t *testing.T) *tls.Config {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), DNSNames: []string{"test"}, NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	require.NoError(t, err)
-	leaf, err := x509.ParseCertificate(der)
-	require.NoError(t, err)
-	pool := x509.NewCertPool()
-	pool.AddCert(leaf)
-	return &tls.Config{
-		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
-		RootCAs:      pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, ServerName: "test",
-	}
-}
-
 func newService(t *testing.T, agents int) *service {
 	s := &service{t: t, store: &store{}, keepers: map[model.NodeID]*Keeper{}, servers: map[model.NodeID]*rpc.Server{}}
-	config := testTLS(t)
+	config, err := mutual.TLS()
+	require.NoError(t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for i := range agents {
@@ -149,6 +134,13 @@
 	s.members = slices.DeleteFunc(s.members, func(m booking.Member) bool { return m.Node == node })
 }
 
+// kill ends an agent at once.
+func (s *service) kill(node model.NodeID) {
+	s.servers[node].Close()
+	s.keepers[node].Close()
+	s.remove(node)
+}
+
 // home returns an agent that is a home, or one that is none.
 func (s *service) home(is bool) *Keeper {
 	for _, member := range s.Members() {
@@ -206,8 +198,7 @@
 	s.store.lose = true
 	s.store.mu.Unlock()
 	for _, dead := range []model.NodeID{"agent-3", "agent-4"} {
-		s.servers[dead].Close()
-		s.remove(dead)
+		s.kill(dead)
 	}
 	require.NotNil(t, s.outcome(s.keepers["agent-1"], "kept"), "three of five homes are left")
 	s.until(func() bool {
@@ -228,12 +219,24 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	require.NoError(t, leaver.Leave(ctx), "the others still take it for an active agent")
-	s.remove(leaver.config.Self.Node)
-	s.servers[leaver.config.Self.Node].Close()
+	s.kill(leaver.config.Self.Node)
 	s.until(func() bool { return guest.isHome() })
 	require.Equal(t, request.OutcomeInProgress, s.outcome(guest, "moved").Outcome)
 }
 
+// TestAgentThatKnowsNobodyReplacesNoHomes hides all agents from each other.
+func TestAgentThatKnowsNobodyReplacesNoHomes(t *testing.T) {
+	s := newService(t, 3)
+	s.until(func() bool { return len(s.keepers["agent-0"].roster.Load().Members) == 3 })
+	before := s.keepers["agent-0"].roster.Load()
+	s.mu.Lock()
+	s.members = nil
+	s.mu.Unlock()
+	reads := s.store.count()
+	s.until(func() bool { return s.store.count() >= reads+6 })
+	require.Equal(t, before.ID, s.keepers["agent-0"].roster.Load().ID)
+}
+
 // TestNoMajorityNoClaim checks that a service that lost most homes at once, with
 // the platform down, refuses rather than runs a key twice.
 func TestNoMajorityNoClaim(t *testing.T) {
@@ -242,8 +245,8 @@
 	s.store.mu.Lock()
 	s.store.down = true
 	s.store.mu.Unlock()
-	s.servers["agent-1"].Close()
-	s.servers["agent-2"].Close()
+	s.kill("agent-1")
+	s.kill("agent-2")
 	_, err := s.keepers["agent-0"].Claim(context.Background(), key("refused"))
 	require.ErrorContains(t, err, "too few homes")
 }
--- a/internal/operator/ctl/session.go
+++ b/internal/operator/ctl/session.go
@@ -4,30 +4,21 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net/netip"
 	"os"
 
-	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
 	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/keys"
+	"github.com/balsamlink/balsamlink/internal/observe"
 	"github.com/balsamlink/balsamlink/internal/operator"
 	"github.com/balsamlink/balsamlink/internal/platform"
 	"github.com/balsamlink/balsamlink/internal/rpc"
 	"github.com/balsamlink/balsamlink/internal/settings"
-	"github.com/balsamlink/balsamlink/internal/strictjson"
 )
 
 // Settings are the settings of balsamctl.
-type Settings struct {
-	// Author is the name under which changes stand in the audit trail.
-	Author string     `json:"author" jsonschema:"minLength=1,maxLength=200"`
-	Keys   keys.Files `json:"keys"`
-	// Seeds are control addresses of balancers, for when the platform is silent.
-	Seeds    []netip.AddrPort `json:"seeds,omitempty"`
-	Platform settings.Plugin  `json:"platform"`
-}
+type Settings = settings.Operator
 
 // session is what a verb works with.
 type session struct {
@@ -40,13 +31,9 @@
 func readSettings(command *cli.Command) (Settings, error) {
 	path := command.String("settings")
 	if path == "" {
-		return Settings{}, kernel.Usage(errors.New("--settings FILE is needed"))
-	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, kernel.Usage(err)
+		return Settings{}, kernel.Usage(Error.New("--settings FILE is needed"))
 	}
-	read, err := strictjson.Decode[Settings](text)
+	read, err := settings.Load[Settings](path)
 	return read, kernel.Usage(err)
 }
 
@@ -76,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &session{settings: read, store: store, module: module, client: rpc.NewClient(ring.ClientTLS())}
+	s := &session{settings: read, store: operator.Patient(store), module: module, client: rpc.NewClient(ring.ClientTLS())}
 	if err := provision(module, read.Platform.Settings); err != nil {
 		return nil, errors.Join(err, s.close())
 	}
@@ -84,9 +71,12 @@
 }
 
 func provision(module kernel.Module, settings json.RawMessage) error {
-	log := logrus.New()
-	log.SetLevel(logrus.WarnLevel)
-	if err := module.Provision(kernel.Env{Log: logrus.NewEntry(log)}, settings); err != nil {
+	log, err := observe.NewLog(os.Stderr, "warning")
+	if err != nil {
+		return err
+	}
+	env := kernel.Env{Log: log, Path: "platform.settings", Fail: func(error) {}}
+	if err := module.Provision(env, settings); err != nil {
 		return err
 	}
 	return module.Validate()
@@ -97,10 +87,6 @@
 	return s.module.Stop()
 }
 
-func (s *session) editor() *operator.Editor {
-	return operator.NewEditor(s.store, s.settings.Author)
-}
-
 func (s *session) fleet(ctx context.Context) *operator.Fleet {
 	return operator.NewFleet(ctx, s.store, s.client, s.settings.Seeds)
 }
@@ -119,7 +105,7 @@
 
 func (a *app) checkSettings(_ context.Context, command *cli.Command) error {
 	if command.Args().Present() {
-		return kernel.Usage(errors.New("verb " + command.Args().First() + " is not known; see balsamctl --help"))
+		return kernel.Usage(Error.New("verb %s is not known; see balsamctl --help", command.Args().First()))
 	}
 	if !command.Bool("check-settings") {
 		return cli.ShowRootCommandHelp(command)
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -19,7 +19,7 @@
 )
 
 func sealer(t require.TestingT) *Sealer {
-	s, err := NewSealer([]byte("0123456789abcdef"))
+	s, err := NewSealer([]model.SharedKey{{Number: 2, Secret: [model.SharedKeySize]byte{1}}})
 	require.NoError(t, err)
 	return s
 }
@@ -50,6 +50,7 @@
 	return Input{
 		Services: services,
 		Targets:  drawTargets(t, 12),
+		Refusing: []netip.AddrPort{agentAddr(rapid.IntRange(0, 15).Draw(t, "refusing"))},
 		ZonesOut: rapid.SliceOfNDistinct(rapid.SampledFrom(zones), 0, 2, rapid.ID).Draw(t, "zones out"),
 		Sealer:   sealer(t),
 	}
@@ -87,7 +88,7 @@
 		id := issue(t, owner, rapid.Uint32().Draw(t, "counter"))
 		decision := table.Steer(owner.Service.Tag(), shortPacket(id), &Scratch{})
 
-		gone := slices.Contains(input.ZonesOut, owner.Zone)
+		gone := slices.Contains(input.ZonesOut, owner.Zone) || slices.Contains(input.Refusing, owner.Agent)
 		for _, target := range input.Targets {
 			if target.Agent == owner.Agent && (!target.Running || target.Service != owner.Service) {
 				gone = true
@@ -114,6 +115,7 @@
 		}
 		require.Equal(t, service, target.Service)
 		require.True(t, target.Running && !target.Out && target.Weight > 0)
+		require.NotContains(t, input.Refusing, agent)
 		require.NotContains(t, input.ZonesOut, target.Zone)
 		return
 	}
@@ -135,7 +137,7 @@
 		open := 0
 		for _, target := range input.Targets {
 			if target.Service == service && target.Running && !target.Out && target.Weight > 0 &&
-				!slices.Contains(input.ZonesOut, target.Zone) {
+				!slices.Contains(input.ZonesOut, target.Zone) && !slices.Contains(input.Refusing, target.Agent) {
 				open++
 			}
 		}
@@ -255,3 +257,30 @@
 		NewTable(input)
 	}
 }
+
+// Connection IDs of flows that began under the old key are opened until it is
+// removed; the number of the key is the only thing that selects it.
+func TestRotationOfConnectionIDKeys(t *testing.T) {
+	old := model.SharedKey{Number: 0, Secret: [model.SharedKeySize]byte{1}}
+	new := model.SharedKey{Number: 3, Secret: [model.SharedKeySize]byte{2}}
+	place := Place{Agent: agentAddr(1), Zone: zones[0].Tag(), Service: services[0].Tag()}
+	stages := [][]model.SharedKey{{old}, {old, new}, {new, old}, {new}}
+	var scratch Scratch
+	for _, from := range stages {
+		issuing, err := NewSealer(from)
+		require.NoError(t, err)
+		for first := range 256 {
+			var id [ConnectionIDSize]byte
+			require.NoError(t, issuing.Seal(&id, place, uint32(first), byte(first)))
+			for _, to := range stages {
+				opening, err := NewSealer(to)
+				require.NoError(t, err)
+				got, opened := opening.Open(id[:], place.Service, &scratch)
+				require.Equal(t, slices.Contains(to, from[0]), opened)
+				require.True(t, !opened || got == place)
+			}
+		}
+	}
+	_, err := NewSealer(nil)
+	require.Error(t, err)
+}
