--- a/internal/ledger/bucket.go
+++ b/internal/ledger/bucket.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"math"
 	"time"
 
 	"github.com/balsamlink/balsamlink/internal/model"
@@ -14,10 +13,10 @@
 	// maxOvershoot is the allowed overshoot over rateWindow, as a fraction.
 	maxOvershoot = 0.05
 	// minFill is the least capacity of a bucket, as time at the full rate.
-	minFill = 200 * time.Millisecond
+	minFill = 150 * time.Millisecond
 	// returnDelay is how long after the end of its term a token may come back.
 	returnDelay = 100 * time.Millisecond
-	minTerm     = 150 * time.Millisecond
+	minTerm     = 100 * time.Millisecond
 	maxTerm     = 2 * time.Second
 )
 
@@ -25,6 +24,7 @@
 type bucket struct {
 	level  float64
 	filled model.Instant
+	out    outstanding
 }
 
 // capacity returns the most tokens that a bucket holds.
@@ -32,9 +32,11 @@
 	return max(float64(a.Burst), a.RequestsPerSecond*minFill.Seconds(), 1)
 }
 
-// tokenTerm returns how long granted tokens stay valid. Use in any rateWindow is
-// at most capacity + rate*(rateWindow+term+returnDelay), and the term keeps that
-// within maxOvershoot of burst + rate*rateWindow.
+// tokenTerm returns how long granted tokens stay valid. The level of the bucket
+// and the tokens that are out stay together below capacity + rate*(term +
+// returnDelay), so the use in any rateWindow is at most that and
+// rate*rateWindow. The term keeps it within maxOvershoot of burst +
+// rate*rateWindow.
 func tokenTerm(a plan.Allowance) time.Duration {
 	if a.RequestsPerSecond <= 0 {
 		return minTerm
@@ -50,28 +52,41 @@
 		b.level += a.RequestsPerSecond * now.Sub(b.filled).Seconds()
 		b.filled = now
 	}
-	b.level = min(b.level, capacity(a))
+	returnable := tokenTerm(a) + returnDelay
+	b.out.expire(now.Add(-returnable))
+	spare := capacity(a) + a.RequestsPerSecond*returnable.Seconds() - float64(b.out.total)
+	b.level = max(min(b.level, capacity(a), spare), 0)
 }
 
-// take removes up to want whole tokens and returns how many.
-func (b *bucket) take(now model.Instant, a plan.Allowance, want uint32) uint32 {
+// take removes up to want whole tokens for a node and returns how many.
+func (b *bucket) take(now model.Instant, a plan.Allowance, node model.NodeID, seq uint64, want uint32) uint32 {
 	b.fill(now, a)
-	got := min(want, uint32(math.Max(b.level, 0)))
+	got := min(want, uint32(b.level))
 	b.level -= float64(got)
+	b.out.add(node, seq, now, got)
 	return got
 }
 
-// putBack returns unused tokens to the bucket.
-func (b *bucket) putBack(now model.Instant, a plan.Allowance, tokens uint32) {
-	b.level += float64(tokens)
+// putBack returns unused tokens of a node to the bucket. Tokens that were
+// granted too long ago are lost.
+func (b *bucket) putBack(now model.Instant, a plan.Allowance, node model.NodeID, back []TokensBack) {
+	b.fill(now, a)
+	b.level += float64(b.out.takeBack(node, back))
 	b.fill(now, a)
 }
 
-// nextToken returns how long it takes until one token is there.
-func (b *bucket) nextToken(a plan.Allowance) time.Duration {
+// retryAfter returns when to ask again after the bucket was emptied: when there
+// is a token again, but not more often than it takes to fill the bucket.
+func (b *bucket) retryAfter(a plan.Allowance) time.Duration {
 	if a.RequestsPerSecond <= 0 {
 		return maxTerm
 	}
+	fill := time.Duration(capacity(a) / a.RequestsPerSecond * float64(time.Second))
+	return max(b.nextToken(a), min(max(fill, minRetry), maxPoll))
+}
+
+// nextToken returns how long it takes until one token is there.
+func (b *bucket) nextToken(a plan.Allowance) time.Duration {
 	missing := max(1-b.level, 0)
 	return time.Duration(missing / a.RequestsPerSecond * float64(time.Second))
 }
--- a/internal/ledger/grant.go
+++ b/internal/ledger/grant.go
@@ -21,7 +21,10 @@
 	// scarceSlots marks in-flight slots as scarce from 1/scarceSlots of the plan.
 	scarceSlots = 2
 
-	minRetry   = 150 * time.Millisecond
+	// minRetry and maxPoll bound the time to the next try while a rate is used up.
+	minRetry = 100 * time.Millisecond
+	maxPoll  = 200 * time.Millisecond
+
 	slotRetry  = 40 * time.Millisecond
 	unitsRetry = time.Second
 	// ceilingRetry is when to ask again while the platform takes no writes.
@@ -33,11 +36,11 @@
 	return max(a.UnitsPerMonth/aheadFraction, uint64(math.Ceil(a.RequestsPerSecond)), 1)
 }
 
-func (s *Shard) grant(now Moment, terms Terms, node model.NodeID, agent *agentState, want Want) Grant {
+func (s *Shard) grant(now Moment, terms Terms, req Request, want Want) Grant {
 	grant := Grant{Month: want.Month, Account: want.Account}
 	allowance, allowed := terms.Allowances.Allowance(want.Account.Customer, want.Account.Service)
 	if !allowed {
-		return s.refuse(node, grant)
+		return s.refuse(req.Node, grant)
 	}
 	rate := s.rate(now, want.Account)
 	if rate == nil {
@@ -48,8 +51,8 @@
 	grant.PlanUnits = allowance.UnitsPerMonth
 	agents := float64(max(terms.Agents(want.Account.Service), 1))
 	grant.ShareRate = float32(allowance.RequestsPerSecond / agents)
-	s.grantTokens(now, allowance, rate, agent, want, &grant)
-	s.grantSlots(now, allowance, rate, node, want, &grant)
+	s.grantTokens(now, allowance, rate, req, want, &grant)
+	s.grantSlots(now, allowance, rate, req.Node, want, &grant)
 	s.grantUnits(now, allowance, want, &grant)
 	return grant
 }
@@ -65,24 +68,22 @@
 }
 
 func (s *Shard) grantTokens(
-	now Moment, a plan.Allowance, rate *rateState, agent *agentState, want Want, grant *Grant,
+	now Moment, a plan.Allowance, rate *rateState, req Request, want Want, grant *Grant,
 ) {
 	term := tokenTerm(a)
-	if agent.seq > 0 && now.At.Sub(agent.seen) <= term+returnDelay {
-		rate.bucket.putBack(now.At, a, want.TokensBack)
-	}
+	rate.bucket.putBack(now.At, a, req.Node, want.Back)
 	grant.TermMS = milliseconds(term)
-	grant.Tokens = rate.bucket.take(now.At, a, want.Tokens)
+	grant.Tokens = rate.bucket.take(now.At, a, req.Node, req.Seq, want.Tokens)
 	if grant.Tokens < want.Tokens {
 		grant.Refused = ReasonRate
-		grant.RetryAfterMS = milliseconds(max(rate.bucket.nextToken(a), minRetry))
+		grant.RetryAfterMS = milliseconds(rate.bucket.retryAfter(a))
 	}
 }
 
 func (s *Shard) grantSlots(
 	now Moment, a plan.Allowance, rate *rateState, node model.NodeID, want Want, grant *Grant,
 ) {
-	if rate.slots[node] == 0 && want.Held > 0 {
+	if want.Held > rate.slots[node] {
 		rate.lease(node, min(want.Held, a.InFlight))
 	}
 	held := rate.slots[node]
