Bound the wait for the header of an answer

A frozen target held the slots of requests without a deadline for as long as their callers waited. After 60 s such a request is now of unknown outcome.

--- a/internal/offer/offer.go
+++ b/internal/offer/offer.go
@@ -21,6 +21,9 @@
 	idleTimeout     = 10 * time.Second
 	maxAnswerHeader = 64 << 10
 	maxIdleConns    = 64
+	// headerTimeout is how long a target may take until the header of its
+	// answer, so that a frozen one holds no slot for ever.
+	headerTimeout = time.Minute
 )
 
 // Failure tells why an offered request has no answer.
@@ -76,6 +79,7 @@
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    maxIdleConns,
+		ResponseHeaderTimeout:  headerTimeout,
 		MaxResponseHeaderBytes: maxAnswerHeader,
 	}
 }
