--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -257,6 +257,12 @@
 func (m *module) addCounters() {
 	conn := m.front.conn
 	m.counters.GaugeFunc("flows_open", "Open flows of callers.", m.front.OpenFlows)
+	m.counters.GaugeFunc("requests_in_flight", "Requests that hold a slot of the target.",
+		func() int64 { return int64(m.handler.Load().InFlight) })
+	m.counters.GaugeFunc("requests_queued", "Requests that wait for a slot of the target.",
+		func() int64 { return int64(m.handler.Load().Queued) })
+	m.counters.GaugeFunc("requests_limit", "Requests that the target may run at once now.",
+		func() int64 { return int64(m.handler.Load().Limit) })
 	m.counters.GaugeFunc("flows_handed", "Packets of new flows handed to the alternate.", read(&conn.handed))
 	m.counters.GaugeFunc("flows_returned", "Packets of new flows handed back.", read(&conn.returned))
 	m.counters.GaugeFunc("flows_reset", "Stateless resets sent for flows that this agent does not have.", read(&conn.resets))
--- a/internal/experiment/brokenflows.go
+++ b/internal/experiment/brokenflows.go
@@ -12,7 +12,10 @@
 
 func init() { Register("broken-flows", BrokenFlows) }
 
-const frozenTime = 2 * time.Second
+const (
+	frozenTime = 2 * time.Second
+	killSignal = syscall.SIGKILL
+)
 
 // BrokenFlows replaces every balancer, kills and freezes some, drains and
 // replaces agents, and does two of these at once, under a checked load. No
--- a/internal/standin/deployment/operator.go
+++ b/internal/standin/deployment/operator.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"path/filepath"
+	"slices"
+	"time"
 
 	"github.com/balsamlink/balsamlink/internal/keys"
 	"github.com/balsamlink/balsamlink/internal/model"
@@ -78,3 +80,66 @@
 		fleet.Offer(ctx, result)
 	}
 }
+
+// revisions asks all nodes for their revisions of what is out of service. Nodes
+// that do not answer are left out.
+func (o *Operator) revisions(ctx context.Context) ([]model.Revision, error) {
+	fleet := operator.NewFleet(ctx, o.Store, o.client, o.read.Seeds)
+	nodes, err := fleet.Status(ctx)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	var revisions []model.Revision
+	for _, node := range nodes {
+		if node.Report != nil {
+			revisions = append(revisions, node.Report.Revisions[model.DocumentOut])
+		}
+	}
+	return revisions, nil
+}
+
+// NodesBehind returns the number of nodes that hold an older revision of what is
+// out of service than the newest that any node holds.
+func (o *Operator) NodesBehind(ctx context.Context) (int, error) {
+	revisions, err := o.revisions(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if len(revisions) == 0 {
+		return 0, Error.New("no node answers")
+	}
+	newest, behind := slices.Max(revisions), 0
+	for _, revision := range revisions {
+		if revision < newest {
+			behind++
+		}
+	}
+	return behind, nil
+}
+
+// AwaitInForce waits until a number of nodes hold a revision of what is out of
+// service.
+func (o *Operator) AwaitInForce(ctx context.Context, wanted model.Revision, nodes int, poll time.Duration) error {
+	ticker := time.NewTicker(poll)
+	defer ticker.Stop()
+	for {
+		revisions, err := o.revisions(ctx)
+		if err != nil {
+			return err
+		}
+		reached := 0
+		for _, revision := range revisions {
+			if revision >= wanted {
+				reached++
+			}
+		}
+		if reached >= nodes {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return Error.New("revision %d is in force at %d of %d nodes: %v", wanted, reached, nodes, ctx.Err())
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -284,6 +284,17 @@
 	return names
 }
 
+// Nodes returns the number of balancers and agents.
+func (f *Fleet) Nodes() int {
+	nodes := 0
+	for _, spec := range f.Layout.Processes {
+		if spec.Program != "balsamdev" {
+			nodes++
+		}
+	}
+	return nodes
+}
+
 // Pid returns the process number, 0 when it is not running.
 func (f *Fleet) Pid(name string) int {
 	p := f.process(name)
