--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -356,6 +356,23 @@
 	f.serveOne(agent)
 }
 
+// TestPlatformCallsStayWithinTheBudget lets three balancers keep all shards, with
+// one busy customer.
+func TestPlatformCallsStayWithinTheBudget(t *testing.T) {
+	f := newFleet(t, "balancer-1", "balancer-2", "balancer-3")
+	agent := f.agent("agent-1")
+	f.serveOne(agent)
+	writes, reads := f.store.counts()
+	const seconds = 5
+	f.serveFor(agent, seconds*time.Second)
+	laterWrites, laterReads := f.store.counts()
+	writes, reads = laterWrites-writes, laterReads-reads
+	t.Logf("%d writes and %d reads in %d s", writes, reads, seconds)
+	require.LessOrEqual(t, writes, 112*seconds)
+	require.LessOrEqual(t, reads, 200*seconds)
+	require.Positive(t, writes)
+}
+
 func metricOf(name string) int64 {
 	if value, ok := metrics.Get(name).(interface{ Value() int64 }); ok {
 		return value.Value()
--- a/internal/keeper/store_test.go
+++ b/internal/keeper/store_test.go
@@ -72,6 +72,12 @@
 	return s.entries[key].Value
 }
 
+func (s *memoryStore) counts() (writes, reads int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes, s.reads
+}
+
 // lose makes the answers of the next writes get lost.
 func (s *memoryStore) lose(answers int) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/ledger/units_test.go
@@ -0,0 +1,125 @@
+package ledger
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// check holds the state against the oracle: no account has more admitted
+// requests than the highest plan of the month, and no total counts more than
+// what was served.
+func (m *machine) check(t *rapid.T) {
+	month := MonthOf(m.now.Wall)
+	for _, customer := range testCustomers {
+		key := unitKey{month, Account{customer, testService}}
+		m.highest[key] = max(m.highest[key], m.plans[customer].UnitsPerMonth)
+	}
+	for key, admitted := range m.admitted {
+		if admitted > m.highest[key] {
+			t.Fatalf("%v: %d admitted of %d", key, admitted, m.highest[key])
+		}
+	}
+	for key, total := range m.totals() {
+		if total > m.served[key] {
+			t.Fatalf("%v: total %d of %d served: %+v", key, total, m.served[key], m.metering)
+		}
+	}
+}
+
+func (m *machine) totals() map[unitKey]uint64 {
+	totals := map[unitKey]uint64{}
+	for _, total := range m.metering.doc.Used {
+		totals[unitKey{m.metering.doc.Month, Account{total.Customer, total.Service}}] = total.Units
+	}
+	for _, total := range m.metering.doc.Previous {
+		totals[unitKey{m.metering.doc.Month - 1, Account{total.Customer, total.Service}}] = total.Units
+	}
+	return totals
+}
+
+// settle lets all agents leave in order and holds the totals against what the
+// surviving processes have served.
+func (m *machine) settle(t *rapid.T) {
+	for _, agent := range m.agents {
+		for _, permit := range agent.open {
+			m.end(agent, permit, true)
+		}
+		agent.holder.Close()
+	}
+	m.drain(t)
+	m.compare(t)
+}
+
+// drain exchanges without faults until all that agents have to tell is written.
+func (m *machine) drain(t *rapid.T) {
+	m.takeOver()
+	keeper := m.keepers[len(m.keepers)-1]
+	for range 50 {
+		for _, agent := range m.agents {
+			if request, due := agent.holder.Next(m.now, testShard); due {
+				reply, err := keeper.shard.Exchange(m.now, m.terms(), request, true)
+				require.NoError(t, err)
+				agent.holder.Reply(m.now, testShard, reply)
+			}
+		}
+		m.writeMetering(keeper, 0)
+		m.advance(100 * time.Millisecond)
+	}
+}
+
+func (m *machine) compare(t *rapid.T) {
+	totals := m.totals()
+	survivors := map[unitKey]uint64{}
+	for _, agent := range m.agents {
+		require.True(t, agent.holder.Settled(), "agent %s is not settled", agent.node)
+		for key, served := range agent.served {
+			survivors[key] += served
+		}
+	}
+	oldest := m.metering.doc.Month - 1
+	for key, served := range survivors {
+		if key.Month >= oldest && totals[key] < served {
+			t.Fatalf("%v: total %d, survivors served %d", key, totals[key], served)
+		}
+	}
+	for key, served := range m.served {
+		if key.Month >= oldest && !m.killed && totals[key] != served {
+			t.Fatalf("%v: total %d, served %d", key, totals[key], served)
+		}
+	}
+	m.check(t)
+}
+
+// TestUnitsStayWithinThePlanUnderAnyFaults drives several keepers at once with
+// lost, late and repeated requests, replies and writes, deaths of agents, month
+// changes and plan changes.
+func TestUnitsStayWithinThePlanUnderAnyFaults(t *testing.T) {
+	require.NoError(t, flag.Set("rapid.checks", "1000"))
+	require.NoError(t, flag.Set("rapid.steps", "60"))
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		t.Repeat(map[string]func(*rapid.T){
+			"":            m.check,
+			"work":        m.work,
+			"work2":       m.work,
+			"work3":       m.work,
+			"work4":       m.work,
+			"work5":       m.work,
+			"exchange":    func(t *rapid.T) { m.exchange(t, m.agent(t), m.keeper(t)) },
+			"idle":        m.idle,
+			"lateReply":   m.lateReply,
+			"write":       func(t *rapid.T) { m.write(t, m.keeper(t)) },
+			"lateWrite":   m.lateWrite,
+			"takeOver":    m.maybeTakeOver,
+			"kill":        m.kill,
+			"sleep":       m.sleep,
+			"lateInMonth": m.lateInMonth,
+			"changePlan":  m.changePlan,
+		})
+		m.settle(t)
+	})
+}
