--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -39,7 +39,7 @@
 	// called from the control goroutine and must not block.
 	Allowances func() ledger.Allowances
 	Balancers  Balancers
-	// Agents returns the number of agents of a service.
+	// Agents returns the number of agents of a service. Nil counts one.
 	Agents func(model.Service) int
 	Node   model.NodeID
 	// Control is the address at which RPC is served.
@@ -94,6 +94,9 @@
 	if config.Wall == nil {
 		config.Wall = time.Now
 	}
+	if config.Agents == nil {
+		config.Agents = func(model.Service) int { return 1 }
+	}
 	k := &Keeper{
 		config: config,
 		calls:  make(chan *call, callQueue),
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/balsamlink/balsamlink/internal/model"
@@ -237,9 +238,8 @@
 }
 
 func (s *session) wants(now Moment, closing bool) []Want {
-	var wants []Want
-	for _, account := range sortedAccounts(s.holdings) {
-		holding := s.holdings[account]
+	var due []*holding
+	for _, holding := range s.holdings {
 		holding.advance(now)
 		holding.returnSurplus(now.At)
 		if closing {
@@ -247,10 +247,15 @@
 		}
 		s.forgetIdle(now.At, holding)
 		unsynced := holding.held > 0 && holding.synced != s.fence
-		if len(wants) < MaxWants && (unsynced || holding.due(now.At)) {
-			wants = append(wants, holding.want(now.At, closing))
+		if unsynced || holding.due(now.At) {
+			due = append(due, holding)
 		}
 	}
+	slices.SortFunc(due, func(a, b *holding) int { return compareAccounts(a.account, b.account) })
+	var wants []Want
+	for _, holding := range due[:min(len(due), MaxWants)] {
+		wants = append(wants, holding.want(now.At, closing))
+	}
 	return wants
 }
 
