Fill a home again that has lost its memory

Nobody noticed a home that was killed and started again until a claim met it. A home now looks at its own table and asks for a change. Seen failing without.

--- a/internal/booking/claims/claims_test.go
+++ b/internal/booking/claims/claims_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -73,6 +74,7 @@
 type service struct {
 	t       *testing.T
 	store   *store
+	config  *tls.Config
 	mu      sync.Mutex
 	members []booking.Member
 	keepers map[model.NodeID]*Keeper
@@ -87,30 +89,11 @@
 
 func newService(t *testing.T, agents int) *service {
 	s := &service{t: t, store: &store{}, keepers: map[model.NodeID]*Keeper{}, servers: map[model.NodeID]*rpc.Server{}}
-	config, err := mutual.TLS()
+	var err error
+	s.config, err = mutual.TLS()
 	require.NoError(t, err)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	for i := range agents {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		self := booking.Member{
-			Node: model.NodeID(fmt.Sprint("agent-", i)), Zone: model.Zone(fmt.Sprint("zone-", i%3)),
-			Control: listener.Addr().(*net.TCPAddr).AddrPort(),
-		}
-		client := rpc.NewClient(config)
-		t.Cleanup(client.Close)
-		k := New(Config{Self: self, Service: "memberdesk", Store: s.store, Directory: s, Client: client, Log: logrus.NewEntry(log)})
-		server := rpc.NewServer(config, logrus.NewEntry(log))
-		k.Register(server)
-		server.Serve(listener)
-		s.members = append(s.members, self)
-		s.keepers[self.Node], s.servers[self.Node] = k, server
-		t.Cleanup(func() { server.Close() })
-	}
-	for _, k := range s.keepers {
-		k.Start()
-		t.Cleanup(k.Close)
+		s.start(booking.Member{Node: model.NodeID(fmt.Sprint("agent-", i)), Zone: model.Zone(fmt.Sprint("zone-", i%3))}, "127.0.0.1:0")
 	}
 	s.until(func() bool {
 		for _, k := range s.keepers {
@@ -123,6 +106,28 @@
 	return s
 }
 
+// start starts an agent at an address.
+func (s *service) start(self booking.Member, address string) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	listener, err := net.Listen("tcp", address)
+	require.NoError(s.t, err)
+	self.Control = listener.Addr().(*net.TCPAddr).AddrPort()
+	client := rpc.NewClient(s.config)
+	s.t.Cleanup(client.Close)
+	k := New(Config{Self: self, Service: "memberdesk", Store: s.store, Directory: s, Client: client, Log: logrus.NewEntry(log)})
+	server := rpc.NewServer(s.config, logrus.NewEntry(log))
+	k.Register(server)
+	server.Serve(listener)
+	s.mu.Lock()
+	s.members = append(s.members, self)
+	s.mu.Unlock()
+	s.keepers[self.Node], s.servers[self.Node] = k, server
+	s.t.Cleanup(func() { server.Close() })
+	k.Start()
+	s.t.Cleanup(k.Close)
+}
+
 // until waits for a condition that must come true.
 func (s *service) until(condition func() bool) {
 	require.Eventually(s.t, condition, 20*time.Second, 20*time.Millisecond)
@@ -210,6 +215,20 @@
 	}
 }
 
+// TestHomeThatLostItsMemoryIsFilledAgain restarts a home on its address while
+// nobody claims anything. A claim then needs it.
+func TestHomeThatLostItsMemoryIsFilledAgain(t *testing.T) {
+	s := newService(t, 3)
+	s.until(func() bool { return len(s.keepers["agent-0"].roster.Load().Members) == 3 })
+	before := s.keepers["agent-0"].roster.Load().ID.Epoch
+	self := s.keepers["agent-1"].config.Self
+	s.kill("agent-1")
+	s.start(self, self.Control.String())
+	s.until(func() bool { return s.keepers["agent-2"].roster.Load().ID.Epoch > before })
+	s.kill("agent-0")
+	require.Nil(t, s.outcome(s.keepers["agent-2"], "needs both"))
+}
+
 func TestLeavingHomeHandsItsKeysOver(t *testing.T) {
 	s := newService(t, 4)
 	s.until(func() bool { return len(s.keepers["agent-0"].roster.Load().Members) == 3 })
--- a/internal/booking/claims/rosters.go
+++ b/internal/booking/claims/rosters.go
@@ -90,6 +90,7 @@
 			return
 		}
 	}
+	r.checkOwnHome(ctx, roster)
 	members := r.keeper.members()
 	for _, member := range members {
 		r.lastSeen[member.Node] = now
@@ -104,6 +105,18 @@
 	r.replace(ctx, members)
 }
 
+// checkOwnHome notices that this agent is a home and has lost its memory since.
+// A release of no key changes nothing.
+func (r *rosters) checkOwnHome(ctx context.Context, roster booking.Roster) {
+	if !r.keeper.isHome() {
+		return
+	}
+	response, err := r.keeper.local(ctx, booking.Request{Op: booking.OpRelease, Roster: roster.ID})
+	if err == nil && response.Status == booking.StatusNoTable && response.Newest.ID.Epoch <= roster.ID.Epoch {
+		r.keeper.unwell.Store(true)
+	}
+}
+
 // due reports whether it is this agent's turn to replace the roster.
 func (r *rosters) due(now model.Instant, roster booking.Roster, members, wanted []booking.Member) bool {
 	if slices.Equal(roster.Members, wanted) && !r.keeper.unwell.Load() {
