--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -34,7 +34,7 @@
 	maxAccounts = 8192
 	// learnTime is how long a new keeper lets agents tell their in-flight slots
 	// before it grants further ones.
-	learnTime = 2 * time.Second
+	learnTime = 3 * time.Second
 	// slotTerm is how long the slots of a silent agent stay reserved.
 	slotTerm = 30 * time.Second
 	// accountIdle is how long the rate of an unused account is remembered.
@@ -175,7 +175,7 @@
 	s.metering.stage(now, req)
 	reply := Reply{Keeper: true, Fence: s.fence, Seq: req.Seq}
 	for _, want := range req.Wants {
-		reply.Grants = append(reply.Grants, s.grant(now, terms, req.Node, agent, want))
+		reply.Grants = append(reply.Grants, s.grant(now, terms, req, want))
 	}
 	agent.seq = req.Seq
 	agent.reply = reply
@@ -288,7 +288,10 @@
 func (s *Shard) rate(now Moment, account Account) *rateState {
 	rate := s.rates[account]
 	if rate == nil && len(s.rates) < maxAccounts {
-		rate = &rateState{bucket: bucket{filled: s.started}, slots: map[model.NodeID]uint32{}}
+		rate = &rateState{
+			bucket: bucket{filled: s.started},
+			slots:  map[model.NodeID]uint32{},
+		}
 		s.rates[account] = rate
 	}
 	if rate != nil {
