Refuse booking messages of another service

An address may belong to an agent of another service by now. Its home would have adopted a foreign roster and dropped its own keys. Messages now name their service and are refused elsewhere. Seen failing without the check.

--- a/internal/booking/claims/claims_test.go
+++ b/internal/booking/claims/claims_test.go
@@ -256,6 +256,21 @@
 	require.Equal(t, before.ID, s.keepers["agent-0"].roster.Load().ID)
 }
 
+// TestAgentOfAnotherServiceIsNoHome sends an agent what an agent of another
+// service means for the node that had its address before.
+func TestAgentOfAnotherServiceIsNoHome(t *testing.T) {
+	s := newService(t, 1)
+	k := s.keepers["agent-0"]
+	before := *k.roster.Load()
+	foreign := booking.Roster{ID: booking.RosterID{Epoch: 99}, Members: before.Members}
+	for _, sender := range []model.Service{"proofroom", ""} {
+		_, err := rpc.Call[booking.Request, booking.Response](context.Background(), k.config.Client, k.config.Self.Control,
+			rpc.MethodClaim, booking.Request{Op: booking.OpNotify, Known: foreign, Service: sender})
+		require.ErrorContains(t, err, "serves memberdesk")
+	}
+	require.Equal(t, before, *k.roster.Load())
+}
+
 // TestNoMajorityNoClaim checks that a service that lost most homes at once, with
 // the platform down, refuses rather than runs a key twice.
 func TestNoMajorityNoClaim(t *testing.T) {
--- a/internal/booking/claims/keeper.go
+++ b/internal/booking/claims/keeper.go
@@ -90,6 +90,9 @@
 // Register adds the keeper's handlers to a server.
 func (k *Keeper) Register(server *rpc.Server) {
 	serve := rpc.Typed(func(ctx context.Context, _ rpc.Peer, request booking.Request) (booking.Response, error) {
+		if request.Service != k.config.Service {
+			return booking.Response{}, Error.New("this agent serves %s, not %s", k.config.Service, request.Service)
+		}
 		return k.local(ctx, request)
 	})
 	server.Handle(rpc.MethodClaim, serve)
@@ -207,6 +210,7 @@
 	if call.To.Node == k.config.Self.Node {
 		return k.local(ctx, call.Request)
 	}
+	call.Request.Service = k.config.Service
 	method := rpc.MethodClaim
 	if call.Request.Op == booking.OpOutcome || call.Request.Op == booking.OpRelease {
 		method = rpc.MethodOutcome
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -106,6 +106,9 @@
 	Boot Boot
 	// Known is the newest roster in force that the sender knows.
 	Known Roster
+	// Service is the sender's. An address may belong to an agent of another
+	// service by now.
+	Service model.Service
 }
 
 // Status is how a home took a message.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -51,7 +51,7 @@
 	settings, err := json.Marshal(map[string]any{"address": listener.Addr().String(), "slots": config.Slots})
 	require.NoError(t, err)
 	require.NoError(t, module.Provision(kernel.Env{Log: quiet()}, settings))
-	a.handler = request.New(request.Config{Target: module, Peers: peers, Log: quiet()})
+	a.handler = request.New(request.Config{Service: "memberdesk", Target: module, Peers: peers, Log: quiet()})
 	t.Cleanup(a.handler.Close)
 	server := httptest.NewServer(a.handler)
 	t.Cleanup(server.Close)
