Measure what control costs one balancer

Cause: the bounds of 5 KB/s, 1.9% of a core and 128 MB were a calculation.

controlcost.Run puts one real node behind real TLS connections among fakes and counts bytes, processor time and memory at five sizes of fleet, in steady state, through changes, comparisons and a document.

Ruled out: counting only what is sent, which would halve the figures.

--- /dev/null
+++ b/internal/measure/controlcost/fakes.go
@@ -0,0 +1,316 @@
+package controlcost
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/balsamlink/balsamlink/internal/cluster"
+	"github.com/balsamlink/balsamlink/internal/devcerts"
+	"github.com/balsamlink/balsamlink/internal/keys"
+	"github.com/balsamlink/balsamlink/internal/membership"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/rpc"
+)
+
+const (
+	watchersEach = membership.WatcherCount
+	zoneCount    = 6
+	slots        = 8
+	fakeAge      = 100
+	agentPort    = 9
+	startTimeout = 10 * time.Second
+)
+
+// fleet is a measured node among fakes.
+type fleet struct {
+	size    Size
+	random  *rand.Rand
+	meter   *meter
+	ring    *keys.Ring
+	log     *logrus.Entry
+	self    membership.Record
+	records []membership.Record
+	node    *cluster.Node
+	// digest is what the node last told a balancer.
+	digest atomic.Uint64
+	// revision of the documents that the fakes speak of.
+	revision atomic.Uint64
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	closers []func()
+}
+
+func newFleet(ctx context.Context, size Size, seed uint64) (*fleet, error) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := &fleet{
+		size: size, random: rand.New(rand.NewPCG(seed, uint64(size.Nodes()))), meter: &meter{},
+		log: logrus.NewEntry(log),
+	}
+	f.ctx, f.cancel = context.WithCancel(ctx)
+	if err := f.open(); err != nil {
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) open() error {
+	if err := f.makeKeys(); err != nil {
+		return err
+	}
+	for i := range f.size.Balancers - 1 {
+		if err := f.addBalancer(i); err != nil {
+			return err
+		}
+	}
+	for i := range f.size.Agents {
+		f.addAgent(i)
+	}
+	return f.startNode()
+}
+
+func (f *fleet) makeKeys() error {
+	folder, err := os.MkdirTemp("", "controlcost-")
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer os.RemoveAll(folder)
+	if err := devcerts.Make(devcerts.Request{Directory: folder, Nodes: []string{"node"}}); err != nil {
+		return Error.Wrap(err)
+	}
+	f.ring, err = keys.Load(devcerts.NodeFiles(folder, "node"))
+	return Error.Wrap(err)
+}
+
+func (f *fleet) record(name string, service model.Service, control netip.AddrPort) membership.Record {
+	return membership.Record{
+		Node: model.NodeID(name), Role: membership.RoleOf(service), State: membership.StateActive,
+		Incarnation: membership.Birth(time.Now().UnixMilli(), f.random.Uint64()), Version: 2,
+		Zone:    model.Zone(fmt.Sprintf("gauteng-%d", f.random.IntN(zoneCount))),
+		Service: service, Control: control, Data: control, Slots: slots,
+	}
+}
+
+// loopback returns an address of the loopback network for the i-th fake.
+func loopback(network byte, i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, network, byte(i / 250), byte(1 + i%250)})
+}
+
+func (f *fleet) addBalancer(i int) error {
+	control, err := f.serve(loopback(1, i), f.fakeServer(), true)
+	if err != nil {
+		return err
+	}
+	f.records = append(f.records, f.record(fmt.Sprintf("lb-%04d", i), "", control))
+	return nil
+}
+
+func (f *fleet) addAgent(i int) {
+	service := model.Service(fmt.Sprintf("service-%04d", int(float64(i)/serversPerAddress)))
+	control := netip.AddrPortFrom(loopback(2, i), agentPort)
+	f.records = append(f.records, f.record(fmt.Sprintf("agent-%04d", i), service, control))
+}
+
+func (f *fleet) serve(addr netip.Addr, server *rpc.Server, fake bool) (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", netip.AddrPortFrom(addr, 0).String())
+	if err != nil {
+		return netip.AddrPort{}, Error.Wrap(err)
+	}
+	server.Serve(f.meter.listener(listener, fake))
+	f.closers = append(f.closers, func() { server.Close() })
+	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// fakeServer answers as a balancer that holds the same records as the node.
+func (f *fleet) fakeServer() *rpc.Server {
+	server := rpc.NewServer(f.ring.ServerTLS(), f.log)
+	server.Handle(rpc.MethodAnnounce, rpc.Typed(
+		func(context.Context, rpc.Peer, cluster.HeartbeatRequest) (cluster.HeartbeatReply, error) {
+			return cluster.HeartbeatReply{Ping: f.pingReply(), Digest: f.digest.Load()}, nil
+		}))
+	server.Handle(rpc.MethodPing, rpc.Typed(
+		func(context.Context, rpc.Peer, cluster.PingRequest) (cluster.PingReply, error) {
+			return f.pingReply(), nil
+		}))
+	server.Handle(rpc.MethodSync, rpc.Typed(
+		func(context.Context, rpc.Peer, cluster.SyncRequest) (cluster.SyncReply, error) {
+			return cluster.SyncReply{}, nil
+		}))
+	return server
+}
+
+func (f *fleet) revisions() model.Revisions {
+	revision := model.Revision(f.revision.Load())
+	return model.Revisions{revision, revision, revision}
+}
+
+func (f *fleet) pingReply() cluster.PingReply {
+	return cluster.PingReply{AgeMillis: fakeAge, Confirmed: true, Revisions: f.revisions()}
+}
+
+// startNode starts the measured node at a place in the tree of proofs at which
+// others ask it, and brings it all records.
+func (f *fleet) startNode() error {
+	server := rpc.NewServer(f.ring.ServerTLS(), f.log)
+	client := rpc.NewClient(f.ring.ClientTLS())
+	listener, err := net.Listen("tcp", netip.AddrPortFrom(loopback(0, 0), 0).String())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	f.self = f.record(f.innerName(), "", listener.Addr().(*net.TCPAddr).AddrPort())
+	f.node, err = cluster.New(cluster.Config{Self: f.self, Client: client, Server: server, Log: f.log})
+	if err != nil {
+		listener.Close()
+		return Error.Wrap(err)
+	}
+	server.Serve(f.meter.listener(listener, false))
+	f.node.Start(f.ctx)
+	f.closers = append(f.closers, f.node.Stop, client.Close, func() { server.Close() })
+	return f.pushAll()
+}
+
+// innerName finds a name whose place has others after it, where the fleet is
+// large enough for such a place.
+func (f *fleet) innerName() string {
+	const smallest = membership.RootCount + membership.TreeFanout*(membership.RootCount+1)
+	for i := 0; ; i++ {
+		name := fmt.Sprintf("measured-%04d", i)
+		if f.size.Balancers < smallest {
+			return name
+		}
+		self := membership.Record{Node: model.NodeID(name), Role: model.RoleBalancer}
+		view := &membership.View{Records: append([]membership.Record{self}, f.records...)}
+		assignment := membership.NewAssignment(view)
+		position, _ := assignment.Position(self.Node)
+		if position >= membership.RootCount && len(assignment.Children(position)) == membership.TreeFanout {
+			return name
+		}
+	}
+}
+
+func (f *fleet) pushAll() error {
+	client := rpc.NewClient(f.ring.ClientTLS())
+	defer client.Close()
+	for rest := f.records; len(rest) > 0; {
+		batch := rest[:min(len(rest), membership.MaxBatch)]
+		rest = rest[len(batch):]
+		if err := f.push(client, batch); err != nil {
+			return err
+		}
+	}
+	return f.await(func() bool { return len(f.node.View().Records) == f.size.Nodes() })
+}
+
+func (f *fleet) push(client *rpc.Client, records []membership.Record) error {
+	ctx, cancel := context.WithTimeout(f.ctx, startTimeout)
+	defer cancel()
+	request := cluster.SyncRequest{Push: records}
+	_, err := rpc.Call[cluster.SyncRequest, cluster.SyncReply](ctx, client, f.self.Control, rpc.MethodSync, request)
+	return Error.Wrap(err)
+}
+
+// await waits until the node has come to a state.
+func (f *fleet) await(reached func() bool) error {
+	ctx, cancel := context.WithTimeout(f.ctx, startTimeout)
+	defer cancel()
+	for !reached() {
+		if err := pause(ctx, pollInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const pollInterval = 20 * time.Millisecond
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return Error.Wrap(ctx.Err())
+	}
+}
+
+// startPeers lets the nodes that the measured one watches send heartbeats, and
+// those that stand after it in the tree ask for proof.
+func (f *fleet) startPeers() int {
+	assignment := membership.NewAssignment(f.node.View())
+	watched := 0
+	for _, record := range f.records {
+		if assignment.Watches(f.self.Node, record.Node) {
+			watched++
+			f.repeat(membership.HeartbeatInterval, f.heartbeat(record))
+		}
+	}
+	position, _ := assignment.Position(f.self.Node)
+	for range assignment.Children(position) {
+		f.repeat(membership.ProofInterval, f.ask)
+	}
+	return watched
+}
+
+func (f *fleet) repeat(every time.Duration, call func(*rpc.Client)) {
+	client := rpc.NewClient(f.ring.ClientTLS())
+	phase := time.Duration(f.random.Int64N(int64(every)))
+	f.running.Go(func() {
+		defer client.Close()
+		if pause(f.ctx, phase) != nil {
+			return
+		}
+		ticker := time.NewTicker(every)
+		defer ticker.Stop()
+		for f.ctx.Err() == nil {
+			call(client)
+			select {
+			case <-ticker.C:
+			case <-f.ctx.Done():
+			}
+		}
+	})
+}
+
+func (f *fleet) heartbeat(record membership.Record) func(*rpc.Client) {
+	request := cluster.HeartbeatRequest{Node: record.Node, Incarnation: record.Incarnation, Version: record.Version}
+	return func(client *rpc.Client) {
+		ctx, cancel := context.WithTimeout(f.ctx, membership.HeartbeatInterval)
+		defer cancel()
+		request.Revisions = f.revisions()
+		reply, err := rpc.Call[cluster.HeartbeatRequest, cluster.HeartbeatReply](
+			ctx, client, f.self.Control, rpc.MethodAnnounce, request)
+		if err == nil && record.Role == model.RoleBalancer {
+			f.digest.Store(reply.Digest)
+		}
+	}
+}
+
+func (f *fleet) ask(client *rpc.Client) {
+	ctx, cancel := context.WithTimeout(f.ctx, membership.ProofInterval)
+	defer cancel()
+	request := cluster.PingRequest{Revisions: f.revisions()}
+	_, err := rpc.Call[cluster.PingRequest, cluster.PingReply](ctx, client, f.self.Control, rpc.MethodPing, request)
+	if err != nil {
+		f.log.WithError(err).Debug("event=ask_failed")
+	}
+}
+
+func (f *fleet) close() {
+	f.cancel()
+	f.running.Wait()
+	for _, closer := range f.closers {
+		closer()
+	}
+}
--- /dev/null
+++ b/internal/measure/controlcost/run.go
@@ -0,0 +1,188 @@
+package controlcost
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/cluster"
+	"github.com/balsamlink/balsamlink/internal/membership"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/rpc"
+)
+
+const (
+	// settleTime is until the first records have been passed on.
+	settleTime = 3 * time.Second
+	changes    = 20
+	changeTime = 3 * time.Second
+	syncs      = 10
+	fetches    = 5
+	// copies is how often a change reaches a node when every balancer passes it
+	// on to four others.
+	copies = 4
+	// packetHeader is the size of the IP and TCP headers of a packet, in bytes.
+	packetHeader = 52
+	// DocumentSize is the size of the document in the measurement, in bytes.
+	DocumentSize = 20_000
+)
+
+// Run measures a balancer in a fleet of each size for a window of steady state
+// and through some changes.
+func Run(ctx context.Context, seed uint64, sizes []Size, window time.Duration) (Result, error) {
+	result := Result{Seed: seed, Window: window}
+	for _, size := range sizes {
+		if size.Balancers < watchersEach+1 || size.Agents < 1 {
+			return result, Error.New("sizes: %+v is too small to measure", size)
+		}
+		sample, err := measure(ctx, size, seed, window)
+		if err != nil {
+			return result, Error.New("%d balancers, %d agents: %v", size.Balancers, size.Agents, err)
+		}
+		result.Samples = append(result.Samples, sample)
+	}
+	result.Bytes = fit(result.Samples, BoundBytesPerSecond, func(s Sample) float64 { return s.DayBytesPerSecond })
+	result.Core = fit(result.Samples, BoundCoreShare, func(s Sample) float64 { return s.CoreShare })
+	result.Memory = fit(result.Samples, BoundMemoryBytes, func(s Sample) float64 { return s.HeapBytes })
+	return result, nil
+}
+
+func measure(ctx context.Context, size Size, seed uint64, window time.Duration) (Sample, error) {
+	empty := heap()
+	f, err := newFleet(ctx, size, seed)
+	if err != nil {
+		return Sample{}, err
+	}
+	defer f.close()
+	sample := Sample{Size: size, Watched: f.startPeers()}
+	if err := pause(f.ctx, settleTime); err != nil {
+		return sample, err
+	}
+	sample.HeapBytes = heap() - empty
+	steps := []func(*Sample) error{
+		func(s *Sample) error { return f.steady(s, window) }, f.change, f.sync, f.document,
+	}
+	for _, step := range steps {
+		if err := step(&sample); err != nil {
+			return sample, err
+		}
+	}
+	sample.day()
+	return sample, nil
+}
+
+// steady measures a time without changes.
+func (f *fleet) steady(s *Sample, window time.Duration) error {
+	before := f.meter.read()
+	if err := pause(f.ctx, window); err != nil {
+		return err
+	}
+	after := f.meter.read()
+	seconds := after.at.Sub(before.at).Seconds()
+	s.BytesPerSecond = (after.bytes() - before.bytes()) / seconds
+	s.SentPerSecond = float64(after.sent-before.sent) / seconds
+	s.MessagesPerSecond = float64(after.messages-before.messages) / seconds
+	s.PacketBytesPerSecond = s.BytesPerSecond + s.MessagesPerSecond*packetHeader
+	s.CoreShare = (after.processor - before.processor).Seconds() / seconds
+	if running := len(f.node.View().Records); running != f.size.Nodes() {
+		return Error.New("the node shows %d of %d nodes", running, f.size.Nodes())
+	}
+	return nil
+}
+
+// change brings changed records, each several times.
+func (f *fleet) change(s *Sample) error {
+	client := rpc.NewClient(f.ring.ClientTLS())
+	defer client.Close()
+	if err := f.push(client, nil); err != nil {
+		return err
+	}
+	before := f.meter.read()
+	for i := range changes {
+		record := &f.records[f.size.Balancers+i%f.size.Agents-1]
+		record.Version++
+		for range copies {
+			if err := f.push(client, []membership.Record{*record}); err != nil {
+				return err
+			}
+		}
+	}
+	if err := pause(f.ctx, changeTime); err != nil {
+		return err
+	}
+	after := f.meter.read()
+	steady := s.BytesPerSecond * after.at.Sub(before.at).Seconds()
+	s.BytesPerChange = max(0, after.bytes()-before.bytes()-steady) / changes
+	return nil
+}
+
+// sync lets an agent fetch one record that it lacks, again and again.
+func (f *fleet) sync(s *Sample) error {
+	agent := f.records[len(f.records)-1]
+	table, err := membership.NewTable(agent, membership.Scope{Service: agent.Service})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	lacks := f.records[0].Node
+	for _, record := range f.node.View().Records {
+		if record.Node == lacks {
+			continue
+		}
+		if _, err := table.Merge(record, model.Now()); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	client := rpc.NewClient(f.ring.ClientTLS())
+	defer client.Close()
+	return f.repeatCounted(syncs, &s.BytesPerSync, func() error { return f.syncOnce(client, table, agent.Service) })
+}
+
+func (f *fleet) syncOnce(client *rpc.Client, table *membership.Table, service model.Service) error {
+	scope := membership.Scope{Service: service}
+	request := cluster.SyncRequest{Service: service, Buckets: table.Buckets(scope)}
+	reply, err := rpc.Call[cluster.SyncRequest, cluster.SyncReply](
+		f.ctx, client, f.self.Control, rpc.MethodSync, request)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, want := table.Compare(scope, reply.Differ, reply.Stamps)
+	if len(want) == 0 {
+		return Error.New("the node had nothing that the agent lacks")
+	}
+	_, err = rpc.Call[cluster.SyncRequest, cluster.SyncReply](
+		f.ctx, client, f.self.Control, rpc.MethodSync, cluster.SyncRequest{Want: want})
+	return Error.Wrap(err)
+}
+
+// document lets nodes fetch a document that the node has just taken.
+func (f *fleet) document(s *Sample) error {
+	body := fmt.Appendf(nil, `{"revision":1,"text":"%0*d"}`, DocumentSize, f.random.Uint64())
+	document := cluster.Document{Kind: model.DocumentOut, Revision: 1, Body: body}
+	if err := f.node.Offer(f.ctx, document); err != nil {
+		return Error.Wrap(err)
+	}
+	f.revision.Store(1)
+	client := rpc.NewClient(f.ring.ClientTLS())
+	defer client.Close()
+	return f.repeatCounted(fetches, &s.BytesPerDocument, func() error {
+		request := cluster.DocumentRequest{Kind: model.DocumentOut}
+		_, err := rpc.Call[cluster.DocumentRequest, cluster.Document](
+			f.ctx, client, f.self.Control, rpc.MethodDocument, request)
+		return Error.Wrap(err)
+	})
+}
+
+// repeatCounted gives the bytes of one call, once the connection stands.
+func (f *fleet) repeatCounted(times int, bytes *float64, call func() error) error {
+	if err := call(); err != nil {
+		return err
+	}
+	before := f.meter.read()
+	for range times {
+		if err := call(); err != nil {
+			return err
+		}
+	}
+	*bytes = (f.meter.read().bytes() - before.bytes()) / float64(times)
+	return nil
+}
--- a/internal/membership/assign.go
+++ b/internal/membership/assign.go
@@ -75,8 +75,8 @@
 const (
 	// RootCount is the number of balancers that ask the platform themselves.
 	RootCount = 5
-	// treeFanout is the number of balancers that ask one other.
-	treeFanout = 4
+	// TreeFanout is the number of balancers that ask one other.
+	TreeFanout = 4
 	// CollectorCount is the number of roots that ask a majority of the nodes
 	// while the platform is silent.
 	CollectorCount = 2
@@ -99,7 +99,17 @@
 	if position < RootCount {
 		return Record{}, false
 	}
-	return a.balancers[(position-RootCount)/treeFanout].record, true
+	return a.balancers[(position-RootCount)/TreeFanout].record, true
+}
+
+// Children returns the balancers that ask the one at a position.
+func (a *Assignment) Children(position int) []Record {
+	var children []Record
+	first := RootCount + position*TreeFanout
+	for i := first; i < min(first+TreeFanout, len(a.balancers)); i++ {
+		children = append(children, a.balancers[i].record)
+	}
+	return children
 }
 
 // ExpectedAge returns the age that the proof of the balancer at a position does
@@ -107,7 +117,7 @@
 func (a *Assignment) ExpectedAge(position int) time.Duration {
 	age := 2 * ProofInterval
 	for position >= RootCount {
-		position = (position - RootCount) / treeFanout
+		position = (position - RootCount) / TreeFanout
 		age += ProofInterval
 	}
 	return age
