--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -93,7 +93,7 @@
 		target: fitted.target, checker: fitted.checker, store: store,
 		health: common.Health, counters: common.Counters, log: log,
 	}
-	parts := common.Parts(platformPart, control)
+	parts := common.Parts(platformPart, control, fitted.ring, fitted.certificate.Reloader())
 	parts = append(parts, fitted.parts...)
 	parts = append(parts, kernel.Part{Name: "agent", Module: own})
 	return parts, common.Options(), nil
@@ -259,6 +259,7 @@
 	m.counters.GaugeFunc("flows_open", "Open flows of callers.", m.front.OpenFlows)
 	m.counters.GaugeFunc("flows_handed", "Packets of new flows handed to the alternate.", read(&conn.handed))
 	m.counters.GaugeFunc("flows_returned", "Packets of new flows handed back.", read(&conn.returned))
+	m.counters.GaugeFunc("flows_reset", "Stateless resets sent for flows that this agent does not have.", read(&conn.resets))
 	m.counters.GaugeFunc("datagrams_out", "Packets sent to callers.", read(&conn.answers))
 	m.counters.GaugeFunc("datagrams_in", "Datagrams received, of any kind and even if dropped.", read(&conn.arrived))
 	for kind := wire.KindEstablished; kind < wire.KindAnswer; kind++ {
--- a/internal/balancer/refusals.go
+++ b/internal/balancer/refusals.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -15,8 +17,10 @@
 
 const (
 	// refusalMemory is how long an agent counts as not running after its VM has
-	// refused a datagram. Each further refusal starts it anew.
-	refusalMemory = time.Second
+	// refused a datagram, unless it announces itself anew. It is longer than the
+	// pauses between a caller's retransmissions, each of which may reach another
+	// balancer.
+	refusalMemory = 30 * time.Second
 	// refusalPoll is the time between two looks at the socket's error queue.
 	refusalPoll = 20 * time.Millisecond
 	// maxRefusals bounds the addresses in memory.
@@ -92,12 +96,18 @@
 	return changed
 }
 
-// refuses reports whether the address has refused a datagram lately.
-func (r *refusals) refuses(addr netip.AddrPort) bool {
+// forget drops what is known of an address whose agent has announced itself.
+func (r *refusals) forget(addr netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, known := r.since[addr]
-	return known
+	delete(r.since, addr)
+}
+
+// addresses returns the addresses that have refused a datagram lately.
+func (r *refusals) addresses() []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.since))
 }
 
 // readRefusal reads one entry of the error queue. The address is invalid for an
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -14,7 +14,7 @@
 
 	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/observe"
-	"github.com/balsamlink/balsamlink/internal/strictjson"
+	"github.com/balsamlink/balsamlink/internal/settings"
 )
 
 // Process describes a program that runs with settings of type T.
@@ -38,6 +38,7 @@
 func Execute(command *cli.Command, arguments []string) int {
 	command.ExitErrHandler = func(context.Context, *cli.Command, error) {}
 	command.Version = version()
+	markUsageErrors(command)
 	err := command.Run(context.Background(), arguments)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", command.Name, err)
@@ -45,6 +46,17 @@
 	return kernel.ExitCode(err)
 }
 
+// markUsageErrors gives bad arguments of a command and all below it their exit
+// code.
+func markUsageErrors(command *cli.Command) {
+	command.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return kernel.Usage(err)
+	}
+	for _, below := range command.Commands {
+		markUsageErrors(below)
+	}
+}
+
 func (p Process[T]) command() *cli.Command {
 	return &cli.Command{
 		Name:  p.Name,
@@ -53,8 +65,7 @@
 			&cli.StringFlag{Name: "settings", Usage: "JSON `FILE` with the settings", Required: true},
 			&cli.BoolFlag{Name: "check-settings", Usage: "check the settings and end"},
 		},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error { return kernel.Usage(err) },
-		Action:       p.act,
+		Action: p.act,
 	}
 }
 
@@ -62,27 +73,18 @@
 	if command.Args().Present() {
 		return kernel.Usage(errors.New("argument " + command.Args().First() + " is not expected"))
 	}
-	settings, err := read[T](command.String("settings"))
+	loaded, err := settings.Load[T](command.String("settings"))
 	if err != nil {
 		return kernel.Usage(err)
 	}
-	log, err := observe.NewLog(os.Stderr, p.Level(settings))
+	log, err := observe.NewLog(os.Stderr, p.Level(loaded))
 	if err != nil {
 		return kernel.Usage(err)
 	}
 	if command.Bool("check-settings") {
-		return p.Check(settings, log)
-	}
-	return p.Run(ctx, settings, log)
-}
-
-func read[T any](path string) (T, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		var none T
-		return none, err
+		return p.Check(loaded, log)
 	}
-	return strictjson.Decode[T](text)
+	return p.Run(ctx, loaded, log)
 }
 
 func version() string {
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -18,14 +18,18 @@
 	// unitTerm is how long units may be used after the keeper last answered.
 	unitTerm = 20 * time.Second
 	// quickRetry is the longest time to the next try that a request waits for.
-	quickRetry = 100 * time.Millisecond
+	quickRetry = 250 * time.Millisecond
+	// urgentSpacing and quietSpacing are the least times between two requests
+	// of a session, with and without a request or a peer that waits for it.
+	urgentSpacing = 20 * time.Millisecond
+	quietSpacing  = 50 * time.Millisecond
 )
 
 // Permit stands for one admitted request.
 type Permit struct {
 	Account Account
 	Month   Month
-	until   model.Instant
+	token   tokenSlice
 }
 
 // Decision tells what becomes of a request.
@@ -85,7 +89,6 @@
 		s.holdings[account] = holding
 	}
 	holding.used = now.At
-	holding.demand.arrive(now.At)
 	decision := h.decide(now, s, holding)
 	if decision.Wait && holding.waiting >= maxWaiting {
 		return Decision{Refused: ReasonBusy, RetryAfter: quickRetry}
@@ -133,11 +136,11 @@
 		return Decision{Refused: ReasonNoKeeper, RetryAfter: unitsRetry}
 	}
 	if holding.missing() == ReasonNone {
-		until, _ := holding.tokens.take()
-		return Decision{Permit: holding.admit(now.At, until)}
+		token, _ := holding.tokens.take()
+		return Decision{Permit: holding.admit(now.At, token)}
 	}
 	if lost {
-		return lostDecision(now.At, holding)
+		return lostDecision(now.At, s.failed, holding)
 	}
 	return waitDecision(now.At, holding)
 }
@@ -158,9 +161,9 @@
 	return ReasonNone
 }
 
-func lostDecision(now model.Instant, holding *holding) Decision {
-	if holding.borrow(now) {
-		return Decision{Permit: holding.admit(now, 0)}
+func lostDecision(now, lost model.Instant, holding *holding) Decision {
+	if holding.borrow(now, lost) {
+		return Decision{Permit: holding.admit(now, tokenSlice{})}
 	}
 	if holding.units == 0 {
 		return Decision{Refused: ReasonNoKeeper, RetryAfter: unitsRetry}
@@ -187,8 +190,8 @@
 		holding.use(permit.Month).Served++
 		return
 	}
-	if permit.until > now.At {
-		holding.tokens.add(1, permit.until)
+	if permit.token.until > now.At {
+		holding.tokens.add(permit.token)
 	}
 	if permit.Month == holding.month && !h.closing {
 		holding.units++
@@ -205,6 +208,9 @@
 		s.current.Fence = s.fence
 		return *s.current, true
 	}
+	if now.At.Sub(s.sent) < s.spacing(now.At) && !h.closing {
+		return Request{}, false
+	}
 	wants := s.wants(now, h.closing)
 	reports := s.reportDue(now.At, h.closing)
 	if len(wants) == 0 && !reports && !s.heartbeatDue(now.At, h.closing) {
@@ -220,6 +226,16 @@
 	return request, true
 }
 
+// spacing returns the least time between two requests.
+func (s *session) spacing(now model.Instant) time.Duration {
+	for _, holding := range s.holdings {
+		if holding.urgent(now) || holding.hoards() {
+			return urgentSpacing
+		}
+	}
+	return quietSpacing
+}
+
 func (s *session) wants(now Moment, closing bool) []Want {
 	var wants []Want
 	for _, account := range sortedAccounts(s.holdings) {
@@ -290,7 +306,7 @@
 		s.holdings[grant.Account] = holding
 	}
 	holding.advance(now)
-	holding.apply(now, s.sent, grant)
+	holding.apply(now, s.sent, s.seq, grant)
 }
 
 // Failed tells that the current request of a shard found no keeper.
--- a/internal/ledger/holding.go
+++ b/internal/ledger/holding.go
@@ -29,13 +29,15 @@
 	// planUnits is the monthly allowance that the units were granted under.
 	planUnits uint64
 	tokens    tokens
-	// tokensBack is the number of tokens to give back.
-	tokensBack uint32
+	// tokensBack lists the tokens to give back.
+	tokensBack []TokensBack
 	term       time.Duration
 	held       uint32
 	open       uint32
 	waiting    uint32
-	scarce     bool
+	// scarceUnits and scarceSlots tell that the keeper is short of them.
+	scarceUnits bool
+	scarceSlots bool
 
 	demand demand
 	peak   peak
@@ -46,9 +48,8 @@
 	refused Reason
 	retryAt model.Instant
 
-	shareRate  float64
-	shareSlots uint32
-	share      bucket
+	shareRate float64
+	share     bucket
 
 	uses map[Month]*Use
 }
@@ -81,7 +82,7 @@
 		h.giveBack(0)
 		h.month = month
 	}
-	h.tokensBack += h.tokens.expire(now.At)
+	h.tokensBack = h.tokens.expire(now.At, h.tokensBack)
 	h.peak.see(now.At, h.open)
 }
 
@@ -100,11 +101,15 @@
 }
 
 // borrow admits a request by the share of an agent whose keeper is not
-// reachable. It needs a unit in hand.
-func (h *holding) borrow(now model.Instant) bool {
+// reachable since an instant. It needs a unit and a slot in hand.
+func (h *holding) borrow(now, lost model.Instant) bool {
+	if h.share.filled < lost {
+		h.share.level = 0
+		h.share.filled = lost
+	}
 	h.share.level = min(h.share.level+h.shareRate*now.Sub(h.share.filled).Seconds(), shareBurst)
 	h.share.filled = now
-	if h.units == 0 || h.open >= max(h.held, h.shareSlots) {
+	if h.units == 0 || h.open >= h.held {
 		return false
 	}
 	if _, ok := h.tokens.take(); ok {
@@ -117,16 +122,17 @@
 	return true
 }
 
-func (h *holding) admit(now model.Instant, until model.Instant) Permit {
+func (h *holding) admit(now model.Instant, token tokenSlice) Permit {
 	h.units--
 	h.open++
+	h.demand.arrive(now)
 	h.peak.see(now, h.open)
-	return Permit{Account: h.account, Month: h.month, until: until}
+	return Permit{Account: h.account, Month: h.month, token: token}
 }
 
 // horizon returns how far ahead units are asked for.
 func (h *holding) horizon() time.Duration {
-	if h.scarce {
+	if h.scarceUnits {
 		return scarceHorizon
 	}
 	return unitHorizon
@@ -159,7 +165,7 @@
 func (h *holding) returnSurplus(now model.Instant) {
 	target := uint64(h.waiting + h.demand.within(now, h.horizon()))
 	idle := now.Sub(h.used) > idleTime
-	if idle || h.units > 2*target+1 && h.scarce {
+	if idle || h.units > 2*target+1 && h.scarceUnits {
 		h.giveBack(target)
 	}
 }
@@ -167,7 +173,7 @@
 // slotsWanted returns the number of in-flight slots to have.
 func (h *holding) slotsWanted() uint32 {
 	wanted := h.open + h.waiting
-	if h.scarce {
+	if h.scarceSlots {
 		return wanted
 	}
 	return max(wanted, h.peak.value)
@@ -176,9 +182,12 @@
 // urgent reports whether a request waits and the keeper may be asked now.
 func (h *holding) urgent(now model.Instant) bool { return h.waiting > 0 && now >= h.retryAt }
 
+// hoards reports whether slots are held that others wait for.
+func (h *holding) hoards() bool { return h.scarceSlots && h.slotsWanted() < h.held }
+
 // due reports whether the keeper should be told or asked something now.
 func (h *holding) due(now model.Instant) bool {
-	if h.urgent(now) || h.tokensBack > 0 {
+	if h.urgent(now) || len(h.tokensBack) > 0 {
 		return true
 	}
 	if now < h.retryAt {
@@ -189,33 +198,48 @@
 
 // want forms the part of the next request that speaks of this holding.
 func (h *holding) want(now model.Instant, closing bool) Want {
-	want := Want{Month: h.month, Account: h.account, TokensBack: h.tokensBack, Slots: h.slotsWanted()}
+	want := Want{Month: h.month, Account: h.account, Back: h.tokensBack, Slots: h.slotsWanted()}
 	if now >= h.retryAt && !closing {
 		want.Tokens = h.tokensWanted(now)
 		want.Units = h.unitsWanted(now)
 	}
 	want.Held = h.held
-	h.tokensBack = 0
+	h.tokensBack = nil
 	h.held = min(h.held, want.Slots)
 	return want
 }
 
 // apply takes a grant that answers a request first sent at a time.
-func (h *holding) apply(now Moment, sent model.Instant, grant Grant) {
+func (h *holding) apply(now Moment, sent model.Instant, seq uint64, grant Grant) {
 	h.take(grant)
 	h.term = time.Duration(grant.TermMS) * time.Millisecond
-	h.tokens.add(grant.Tokens, sent.Add(h.term))
+	h.tokens.add(tokenSlice{count: grant.Tokens, until: sent.Add(h.term), seq: seq})
 	h.held = grant.Slots
-	h.scarce = grant.Scarce
+	h.scarceUnits = grant.ScarceUnits
+	h.scarceSlots = grant.ScarceSlots
 	h.shareRate = float64(grant.ShareRate)
-	h.shareSlots = grant.ShareSlots
 	h.refused = grant.Refused
 	h.retryAt = 0
-	if grant.Refused != ReasonNone {
+	if h.blockedBy(grant.Refused) {
 		h.retryAt = now.At.Add(time.Duration(grant.RetryAfterMS) * time.Millisecond)
 	}
 }
 
+// blockedBy reports whether the keeper is not to be asked for a while after it
+// has refused.
+func (h *holding) blockedBy(refused Reason) bool {
+	switch refused {
+	case ReasonNone:
+		return false
+	case ReasonUnits, ReasonNoKeeper, ReasonClock:
+		return h.units == 0
+	case ReasonInFlight:
+		return h.open >= h.held
+	default:
+		return true
+	}
+}
+
 // take adds granted units. Units of a plan that was lowered below what is
 // granted are given back.
 func (h *holding) take(grant Grant) {
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -157,10 +157,10 @@
 type Want struct {
 	Month   Month
 	Account Account
-	// Tokens is the number of further rate tokens, and TokensBack the number
-	// that the agent gives back unused.
-	Tokens     uint32
-	TokensBack uint32
+	// Tokens is the number of further rate tokens, and Back lists those that the
+	// agent gives back unused.
+	Tokens uint32
+	Back   []TokensBack
 	// Units is the number of further units of the month.
 	Units uint32
 	// Held is the number of in-flight slots that the agent has, and Slots the
@@ -169,6 +169,12 @@
 	Slots uint32
 }
 
+// TokensBack gives back unused tokens of the grant in one exchange.
+type TokensBack struct {
+	Seq    uint64
+	Tokens uint32
+}
+
 // Reply is the keeper's answer.
 type Reply struct {
 	// Keeper reports whether the answering node keeps the shard. If not,
@@ -193,14 +199,15 @@
 	Units  uint32
 	// Slots is the number of requests that the agent may have open.
 	Slots uint32
-	// ShareRate and ShareSlots are what the agent may use while no keeper can
-	// be reached, in requests a second and open requests.
-	ShareRate  float32
-	ShareSlots uint32
+	// ShareRate is what the agent may use while no keeper can be reached, in
+	// requests a second.
+	ShareRate float32
 	// PlanUnits is the monthly allowance that the units were granted under.
 	PlanUnits uint64
-	// Scarce tells the agent to give back at once what it does not need.
-	Scarce bool
+	// ScarceUnits and ScarceSlots tell the agent to give back at once the units
+	// and the in-flight slots that it does not need.
+	ScarceUnits bool
+	ScarceSlots bool
 	// Refused tells which part of the want could not be granted in full.
 	Refused Reason
 	// RetryAfterMS is when to ask again, in milliseconds.
--- a/internal/operator/ctl/change.go
+++ b/internal/operator/ctl/change.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/balsamlink/balsamlink/internal/model"
 	"github.com/balsamlink/balsamlink/internal/operator"
 	"github.com/balsamlink/balsamlink/internal/plan"
+	"github.com/balsamlink/balsamlink/internal/platform"
 )
 
 // changed is what the verbs that change a document print.
@@ -22,17 +24,43 @@
 	Documents []operator.Result `json:"documents"`
 	Seeds     []operator.Spread `json:"seeds"`
 	InForce   *operator.InForce `json:"in_force,omitempty"`
+	Warnings  []string          `json:"warnings"`
 }
 
-var waitFlag = &cli.DurationFlag{
-	Name: "wait", Usage: "wait `TIME` until all nodes have the change in force, as in 10s",
+// retryInterval is the pause between two tries while the platform is silent.
+const retryInterval = 500 * time.Millisecond
+
+// changeFlags returns the flags of every verb that changes a document.
+func changeFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.DurationFlag{Name: "wait", Usage: "wait `TIME` until all nodes have the change in force, as in 10s"},
+		&cli.DurationFlag{Name: "retry", Usage: "keep trying for `TIME` while the platform does not answer"},
+	}
+}
+
+// retry tries a change again while the platform does not answer, for as long as
+// the command line allows. What was accepted in an earlier try changes nothing
+// in a later one.
+func retry(ctx context.Context, command *cli.Command, change func() error) error {
+	deadline := time.Now().Add(command.Duration("retry"))
+	for {
+		err := change()
+		silent := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, operator.ErrOutcomeUnknown)
+		if !silent || time.Now().Add(retryInterval).After(deadline) {
+			return err
+		}
+		select {
+		case <-time.After(retryInterval):
+		case <-ctx.Done():
+			return err
+		}
+	}
 }
 
 func (a *app) apply() *cli.Command {
-	return verb("apply", "make the lists of the files the current ones", "FILE...", within(a.runApply),
+	return verb("apply", "make the lists of the files the current ones", "FILE...", within(a.runApply), append(changeFlags(),
 		&cli.StringSliceFlag{Name: "if-revision", Usage: "refuse unless `[LIST=]N` is in force, as in 7 or plans=7"},
-		&cli.BoolFlag{Name: "confirm-cut", Usage: "cut customers below what they have used this month"},
-		waitFlag)
+		&cli.BoolFlag{Name: "confirm-cut", Usage: "cut customers below what they have used this month"})...)
 }
 
 func (a *app) runApply(ctx context.Context, command *cli.Command, s *session) error {
@@ -44,9 +72,36 @@
 	if err != nil {
 		return kernel.Usage(err)
 	}
-	fleet := s.fleet(ctx)
-	results, err := s.editor().Apply(ctx, contentsOf(files), conditions)
-	return a.finish(ctx, command, fleet, results, err)
+	desk := s.desk(ctx)
+	var results []operator.Result
+	err = retry(ctx, command, func() error {
+		tried, err := desk.editor.Apply(ctx, contentsOf(files), conditions)
+		results = slices.DeleteFunc(results, func(r operator.Result) bool { return !r.Changed })
+		results = append(results, tried...)
+		return err
+	})
+	if dangling := operator.Dangling(ctx, s.store); dangling != nil && len(results) > 0 {
+		desk.warnings = append(desk.warnings, "customers without a plan get nothing: "+dangling.Error())
+	}
+	return a.finish(ctx, command, desk, results, err)
+}
+
+// desk makes changes and spreads the accepted ones at once.
+type desk struct {
+	editor *operator.Editor
+	fleet  *operator.Fleet
+	spread []operator.Spread
+	// warnings are told beside what was accepted.
+	warnings []string
+}
+
+// desk finds the seeds before any change, for the platform may fail after it.
+func (s *session) desk(ctx context.Context) *desk {
+	d := &desk{warnings: []string{}, editor: operator.NewEditor(s.store, s.settings.Author), fleet: s.fleet(ctx)}
+	d.editor.OnAccepted = func(result operator.Result) {
+		d.spread = append(d.spread, d.fleet.Offer(ctx, result)...)
+	}
+	return d
 }
 
 func conditionsOf(command *cli.Command, files []file) (operator.Conditions, error) {
@@ -59,30 +114,30 @@
 			name, number = files[0].content.Kind().String(), text
 		}
 		if !named && len(files) > 1 {
-			return conditions, fmt.Errorf("--if-revision %s: with several files name the list, as in plans=%s", text, text)
+			return conditions, Error.New("--if-revision %s: with several files name the list, as in plans=%s", text, text)
 		}
 		kind, known := plan.KindOf(name)
 		revision, err := strconv.ParseUint(number, 10, 64)
 		if !known || err != nil {
-			return conditions, fmt.Errorf("--if-revision %s: allowed: N, customers=N, plans=N or out=N", text)
+			return conditions, Error.New("--if-revision %s: allowed: N, customers=N, plans=N or out=N", text)
 		}
 		conditions.IfRevision[kind] = model.Revision(revision)
 	}
 	return conditions, nil
 }
 
-// finish spreads what was accepted, waits if asked to, and prints it, also when
-// a later document failed.
+// finish waits if asked to and prints what was accepted, also when a later
+// document failed.
 func (a *app) finish(
-	ctx context.Context, command *cli.Command, fleet *operator.Fleet, results []operator.Result, failed error,
+	ctx context.Context, command *cli.Command, desk *desk, results []operator.Result, failed error,
 ) error {
 	if len(results) == 0 {
 		return failed
 	}
-	shown := changed{Documents: results, Seeds: fleet.Offer(ctx, results)}
+	shown := changed{Documents: results, Seeds: append([]operator.Spread{}, desk.spread...), Warnings: desk.warnings}
 	var waited error
 	if limit := command.Duration("wait"); limit > 0 {
-		shown.InForce, waited = wait(ctx, fleet, results, limit)
+		shown.InForce, waited = wait(ctx, desk.fleet, results, limit)
 	}
 	err := a.print(command, shown, func(w io.Writer) { printChanged(w, shown) })
 	return errors.Join(failed, waited, err)
@@ -103,9 +158,12 @@
 	}
 	for _, seed := range shown.Seeds {
 		if seed.Error != "" {
-			fmt.Fprintf(w, "seed %s did not take it at once: %s\n", seed.Seed, seed.Error)
+			fmt.Fprintf(w, "seed %s did not take %s at once: %s\n", seed.Seed, seed.Document, seed.Error)
 		}
 	}
+	for _, warning := range shown.Warnings {
+		fmt.Fprintf(w, "WARNING: %s\n", warning)
+	}
 	if shown.InForce != nil {
 		behind := len(shown.InForce.Behind)
 		fmt.Fprintf(w, "in force at %d of %d nodes after %d ms\n", shown.InForce.Nodes-behind, shown.InForce.Nodes, shown.InForce.Millis)
@@ -147,43 +205,70 @@
 	})
 }
 
+// thing is what can be taken out of service.
+type thing struct {
+	verb     string
+	name     string
+	argument string
+	set      func(ctx context.Context, e *operator.Editor, name string, out bool) (operator.Result, error)
+	known    func(ctx context.Context, f *operator.Fleet, name string) bool
+}
+
 func (a *app) zone() *cli.Command {
-	return a.outVerbs("zone", "availability zone", "ZONE", func(ctx context.Context, e *operator.Editor, name string, out bool) (operator.Result, error) {
-		return e.SetZone(ctx, model.Zone(name), out)
+	return a.outVerbs(thing{
+		verb: "zone", name: "availability zone", argument: "ZONE",
+		set: func(ctx context.Context, e *operator.Editor, name string, out bool) (operator.Result, error) {
+			return e.SetZone(ctx, model.Zone(name), out)
+		},
+		known: func(ctx context.Context, f *operator.Fleet, name string) bool {
+			return f.Knows(ctx, model.Zone(name), "")
+		},
 	})
 }
 
 func (a *app) target() *cli.Command {
-	return a.outVerbs("target", "target", "NODE", func(ctx context.Context, e *operator.Editor, name string, out bool) (operator.Result, error) {
-		return e.SetTarget(ctx, model.NodeID(name), out)
+	return a.outVerbs(thing{
+		verb: "target", name: "target", argument: "NODE",
+		set: func(ctx context.Context, e *operator.Editor, name string, out bool) (operator.Result, error) {
+			return e.SetTarget(ctx, model.NodeID(name), out)
+		},
+		known: func(ctx context.Context, f *operator.Fleet, name string) bool {
+			return f.Knows(ctx, "", model.NodeID(name))
+		},
 	})
 }
 
-func needOutOrReturn(context.Context, *cli.Command) error {
-	return kernel.Usage(errors.New("out or return is needed"))
-}
-
-// setOut takes something out of service or returns it.
-type setOut func(ctx context.Context, e *operator.Editor, name string, out bool) (operator.Result, error)
-
-func (a *app) outVerbs(name, thing, argument string, set setOut) *cli.Command {
-	run := func(out bool) cli.ActionFunc {
-		return within(func(ctx context.Context, command *cli.Command, s *session) error {
-			if command.Args().Len() != 1 {
-				return kernel.Usage(fmt.Errorf("one %s is needed", argument))
-			}
-			fleet := s.fleet(ctx)
-			result, err := set(ctx, s.editor(), command.Args().First(), out)
-			if err != nil {
-				return err
-			}
-			return a.finish(ctx, command, fleet, []operator.Result{result}, nil)
-		})
-	}
-	group := verb(name, "take out of service or return: "+thing, "", needOutOrReturn)
+func (a *app) outVerbs(t thing) *cli.Command {
+	group := verb(t.verb, "take out of service or return: "+t.name, "", needOutOrReturn)
 	group.Commands = []*cli.Command{
-		verb("out", "take it out of service", argument, run(true), waitFlag),
-		verb("return", "return it to service", argument, run(false), waitFlag),
+		verb("out", "take it out of service", t.argument, a.setOut(t, true), changeFlags()...),
+		verb("return", "return it to service", t.argument, a.setOut(t, false), changeFlags()...),
 	}
 	return group
 }
+
+func needOutOrReturn(context.Context, *cli.Command) error {
+	return kernel.Usage(Error.New("out or return is needed"))
+}
+
+func (a *app) setOut(t thing, out bool) cli.ActionFunc {
+	return within(func(ctx context.Context, command *cli.Command, s *session) error {
+		if command.Args().Len() != 1 {
+			return kernel.Usage(Error.New("one %s is needed", t.argument))
+		}
+		name := command.Args().First()
+		desk := s.desk(ctx)
+		var result operator.Result
+		err := retry(ctx, command, func() (err error) {
+			result, err = t.set(ctx, desk.editor, name, out)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		if out && !t.known(ctx, desk.fleet, name) {
+			desk.warnings = append(desk.warnings, fmt.Sprintf("no node is known of %s %q; check its name", t.name, name))
+		}
+		return a.finish(ctx, command, desk, []operator.Result{result}, nil)
+	})
+}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"sync"
@@ -46,36 +47,28 @@
 	return fleet
 }
 
-// Spread tells what a seed said to the accepted documents.
+// Spread tells what a seed said to an accepted document.
 type Spread struct {
-	Seed  netip.AddrPort `json:"seed"`
-	Error string         `json:"error,omitempty"`
+	Document string         `json:"document"`
+	Seed     netip.AddrPort `json:"seed"`
+	Error    string         `json:"error,omitempty"`
 }
 
-// Offer brings accepted documents to all seeds, so that they are in force even
-// when the platform fails right after it accepted them.
-func (f *Fleet) Offer(ctx context.Context, results []Result) []Spread {
+// Offer brings an accepted document to all seeds, so that it is in force even
+// when the platform fails right after it accepted it.
+func (f *Fleet) Offer(ctx context.Context, result Result) []Spread {
 	spreads := make([]Spread, len(f.seeds))
+	document := cluster.Document{Kind: result.kind, Revision: result.Revision, Body: result.body}
 	each(len(f.seeds), func(i int) {
-		spreads[i].Seed = f.seeds[i]
-		for _, result := range results {
-			if err := f.offer(ctx, f.seeds[i], result); err != nil {
-				spreads[i].Error = err.Error()
-			}
+		spreads[i] = Spread{Document: result.Document, Seed: f.seeds[i]}
+		_, err := call[cluster.Document, cluster.OfferReply](ctx, f.client, f.seeds[i], rpc.MethodOffer, document)
+		if err != nil {
+			spreads[i].Error = err.Error()
 		}
 	})
 	return spreads
 }
 
-func (f *Fleet) offer(ctx context.Context, seed netip.AddrPort, result Result) error {
-	if !result.Changed {
-		return nil
-	}
-	document := cluster.Document{Kind: result.kind, Revision: result.Revision, Body: result.body}
-	_, err := call[cluster.Document, cluster.OfferReply](ctx, f.client, seed, rpc.MethodOffer, document)
-	return err
-}
-
 // NodeStatus is the report of one node, or why there is none.
 type NodeStatus struct {
 	Member status.Member
@@ -83,7 +76,7 @@
 	Error  string
 }
 
-// Status asks all nodes that a seed knows for their reports, in node order.
+// Status asks all nodes that the seeds know for their reports, in node order.
 func (f *Fleet) Status(ctx context.Context) ([]NodeStatus, error) {
 	members, err := f.members(ctx)
 	if err != nil {
@@ -102,22 +95,35 @@
 	return nodes, nil
 }
 
-// members asks one seed after the other for the nodes that it knows.
+// members asks all seeds for the nodes that they know, since a seed that has just
+// started or is cut off knows a part of them only. It returns them in node order.
 func (f *Fleet) members(ctx context.Context) ([]status.Member, error) {
 	if len(f.seeds) == 0 {
 		return nil, Error.New("no seed is known: the platform lists none and the settings name none")
 	}
-	var last error
-	for _, seed := range f.seeds {
-		report, err := call[status.Request, status.Report](ctx, f.client, seed, rpc.MethodStatus, status.Request{Members: true})
-		if err != nil {
-			last = err
-			continue
-		}
-		slices.SortFunc(report.Members, func(a, b status.Member) int { return cmp.Compare(a.Node, b.Node) })
-		return report.Members, nil
+	known := make([][]status.Member, len(f.seeds))
+	faults := make([]error, len(f.seeds))
+	each(len(f.seeds), func(i int) {
+		request := status.Request{Members: true}
+		report, err := call[status.Request, status.Report](ctx, f.client, f.seeds[i], rpc.MethodStatus, request)
+		known[i], faults[i] = report.Members, err
+	})
+	if !slices.Contains(faults, nil) {
+		return nil, Error.New("no seed answers: %w", errors.Join(faults...))
+	}
+	members := slices.Concat(known...)
+	slices.SortFunc(members, func(a, b status.Member) int { return cmp.Compare(a.Node, b.Node) })
+	return slices.CompactFunc(members, func(a, b status.Member) bool { return a.Node == b.Node }), nil
+}
+
+// Knows reports whether a seed knows a node of the zone, or of the name; false
+// also when no seed answers.
+func (f *Fleet) Knows(ctx context.Context, zone model.Zone, node model.NodeID) bool {
+	members, err := f.members(ctx)
+	if err != nil {
+		return false
 	}
-	return nil, Error.New("no seed answers: %w", last)
+	return slices.ContainsFunc(members, func(m status.Member) bool { return m.Zone == zone || m.Node == node })
 }
 
 // InForce tells at how many nodes the wanted revisions are in force.
