Fetch only what differs from the revision that is held

A reply now leaves out the bytes at both ends that are as in the revision before, when the caller holds that one, and carries a hash; what does not fit is fetched whole. Ruled out so far: several ranges, which a revision number at the head of the document would call for.

--- /dev/null
+++ b/internal/cluster/delta.go
@@ -0,0 +1,65 @@
+package cluster
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/platform"
+)
+
+// DocumentReply is the reply of rpc.MethodDocument: a document, whole or as what
+// differs from an earlier revision of it.
+type DocumentReply struct {
+	Kind     model.DocumentKind
+	Revision model.Revision
+	// Base is the revision that the reply builds on; 0 for a whole document.
+	Base model.Revision
+	// Prefix and Suffix are the numbers of bytes at both ends that are as in the
+	// base; Middle stands between them.
+	Prefix, Suffix int
+	Middle         []byte
+	// Sum is a hash of the whole body.
+	Sum uint64
+}
+
+// newReply makes a reply for a node that holds base, which may be empty.
+func newReply(document, base Document) DocumentReply {
+	reply := DocumentReply{
+		Kind: document.Kind, Revision: document.Revision, Base: base.Revision,
+		Sum: xxhash.Sum64(document.Body),
+	}
+	shorter := min(len(document.Body), len(base.Body))
+	for reply.Prefix < shorter && document.Body[reply.Prefix] == base.Body[reply.Prefix] {
+		reply.Prefix++
+	}
+	shorter -= reply.Prefix
+	for reply.Suffix < shorter && fromEnd(document.Body, reply.Suffix) == fromEnd(base.Body, reply.Suffix) {
+		reply.Suffix++
+	}
+	reply.Middle = document.Body[reply.Prefix : len(document.Body)-reply.Suffix]
+	return reply
+}
+
+func fromEnd(body []byte, i int) byte { return body[len(body)-1-i] }
+
+// document puts the document together on the base, which is not changed.
+func (r DocumentReply) document(base Document) (Document, error) {
+	if r.Base != base.Revision {
+		return Document{}, Error.New("base: revision %d of document %s in place of %d", r.Base, r.Kind, base.Revision)
+	}
+	if r.Prefix < 0 || r.Suffix < 0 || r.Prefix > len(base.Body) || r.Suffix > len(base.Body)-r.Prefix {
+		return Document{}, Error.New("prefix: %d and suffix %d pass document %s", r.Prefix, r.Suffix, r.Kind)
+	}
+	size := r.Prefix + len(r.Middle) + r.Suffix
+	if size > platform.MaxValueSize {
+		return Document{}, Error.New("body: %d bytes of document %s are above %d", size, r.Kind, platform.MaxValueSize)
+	}
+	body := make([]byte, 0, size)
+	body = append(body, base.Body[:r.Prefix]...)
+	body = append(body, r.Middle...)
+	body = append(body, base.Body[len(base.Body)-r.Suffix:]...)
+	if xxhash.Sum64(body) != r.Sum {
+		return Document{}, Error.New("sum: document %s does not fit its base", r.Kind)
+	}
+	return Document{Kind: r.Kind, Revision: r.Revision, Body: body}, nil
+}
--- a/internal/cluster/documents.go
+++ b/internal/cluster/documents.go
@@ -13,6 +13,8 @@
 // documents holds the newest good revision of each of the operators' documents.
 type documents struct {
 	held [model.DocumentCount]atomic.Pointer[Document]
+	// previous are the revisions held before those.
+	previous [model.DocumentCount]atomic.Pointer[Document]
 }
 
 // Document returns the newest good revision of a document, and false when there
@@ -80,7 +82,8 @@
 		n.publishFresh()
 		return
 	}
-	n.documents.held[document.Kind].Store(&document)
+	replaced := n.documents.held[document.Kind].Swap(&document)
+	n.documents.previous[document.Kind].Store(replaced)
 	log.Info("event=document_taken")
 	for _, f := range n.onDocument {
 		f(document)
@@ -123,18 +126,35 @@
 	})
 }
 
+// fetch asks a peer for what differs from the own revision, and for the whole
+// document when that does not fit.
 func (n *Node) fetch(ctx context.Context, addr netip.AddrPort, kind model.DocumentKind) error {
-	request := DocumentRequest{Kind: kind}
-	document, err := rpc.Call[DocumentRequest, Document](ctx, n.config.Client, addr, rpc.MethodDocument, request)
-	if err != nil {
-		return Error.Wrap(err)
+	held, _ := n.Document(kind)
+	document, err := n.fetchOn(ctx, addr, kind, held)
+	if err != nil && held.Revision > 0 {
+		document, err = n.fetchOn(ctx, addr, kind, Document{})
 	}
-	if document.Kind != kind {
-		return Error.New("kind: %s came in place of %s", document.Kind, kind)
+	if err != nil {
+		return err
 	}
 	return n.Offer(ctx, document)
 }
 
+func (n *Node) fetchOn(ctx context.Context, addr netip.AddrPort, kind model.DocumentKind, held Document) (Document, error) {
+	request := DocumentRequest{Kind: kind, Have: held.Revision}
+	reply, err := rpc.Call[DocumentRequest, DocumentReply](ctx, n.config.Client, addr, rpc.MethodDocument, request)
+	if err != nil {
+		return Document{}, Error.Wrap(err)
+	}
+	if reply.Kind != kind {
+		return Document{}, Error.New("kind: %s came in place of %s", reply.Kind, kind)
+	}
+	if reply.Base == 0 {
+		held = Document{}
+	}
+	return reply.document(held)
+}
+
 // pullMissing asks a random balancer when a revision is known of and its holder
 // was lost.
 func (n *Node) pullMissing() {
@@ -149,12 +169,16 @@
 	}
 }
 
-func (n *Node) serveDocument(_ context.Context, _ rpc.Peer, request DocumentRequest) (Document, error) {
+func (n *Node) serveDocument(_ context.Context, _ rpc.Peer, request DocumentRequest) (DocumentReply, error) {
 	document, found := n.Document(request.Kind)
 	if !found {
-		return Document{}, Error.New("document %s is not held here", request.Kind)
+		return DocumentReply{}, Error.New("document %s is not held here", request.Kind)
+	}
+	previous := n.documents.previous[request.Kind].Load()
+	if previous == nil || previous.Revision != request.Have {
+		return newReply(document, Document{}), nil
 	}
-	return document, nil
+	return newReply(document, *previous), nil
 }
 
 func (n *Node) serveOffer(ctx context.Context, _ rpc.Peer, document Document) (OfferReply, error) {
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -15,9 +15,11 @@
 	Body     []byte
 }
 
-// DocumentRequest is the request of rpc.MethodDocument; the reply is a Document.
+// DocumentRequest is the request of rpc.MethodDocument.
 type DocumentRequest struct {
 	Kind model.DocumentKind
+	// Have is the revision that the caller holds, 0 for none.
+	Have model.Revision
 }
 
 // OfferReply is the reply of rpc.MethodOffer, whose request is a Document.
--- a/internal/measure/controlcost/result.go
+++ b/internal/measure/controlcost/result.go
@@ -68,7 +68,7 @@
 	BytesPerChange float64 `json:"bytes_per_change"`
 	// BytesPerSync is for one agent that fetches one changed record.
 	BytesPerSync float64 `json:"bytes_per_sync"`
-	// BytesPerDocument is for one fetch of a document of DocumentSize.
+	// BytesPerDocument is for one fetch of a changed document of DocumentSize.
 	BytesPerDocument float64 `json:"bytes_per_document"`
 	// DayBytesPerSecond is the mean over a day with the letter's churn and
 	// changes of configuration.
