Count all slots of a warm target in the choice between two agents

Cause: imbalance at 69% of the slots was 1.28 of the mean. A limit that is not made use of falls; the load was in-flight over the limit, so an agent with little work looked busier the less it got, and kept its limit low. Change: a warm target's load is in-flight over its slots; a cold one's over its limit as before.

--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -248,10 +248,15 @@
 	*request.Handler
 }
 
-// Occupancy implements Flows.
+// Occupancy implements Flows. The limit of a warm target falls while it is not
+// made use of and is soon back, so that all its slots count.
 func (r requests) Occupancy() steering.Occupancy {
 	load := r.Load()
-	return steering.Occupancy{InFlight: load.InFlight + load.Queued, Limit: load.Limit, Open: !load.Draining}
+	limit := load.Slots
+	if load.Cold {
+		limit = load.Limit
+	}
+	return steering.Occupancy{InFlight: load.InFlight + load.Queued, Limit: limit, Open: !load.Draining}
 }
 
 func (m *module) addCounters() {
