Measure bookings under failures and bills to the unit; hook all measurements

Change: scripts/measure bookings, billing, control-cost and allowance-error; the load tool sends bookings again with their keys. It now accepts for a repeat the whole answer of the first request, and nothing else.

--- /dev/null
+++ b/internal/experiment/bookings.go
@@ -0,0 +1,224 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"syscall"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/billing"
+	"github.com/balsamlink/balsamlink/internal/load"
+	"github.com/balsamlink/balsamlink/internal/platform"
+	"github.com/balsamlink/balsamlink/internal/standin/deployment"
+	"github.com/balsamlink/balsamlink/internal/standin/fleet"
+	standin "github.com/balsamlink/balsamlink/internal/standin/platform"
+)
+
+func init() {
+	Register("bookings", Bookings)
+	Register("billing", Billing)
+}
+
+const (
+	bookingCallers = 12
+	// Every repeatEvery-th booking is sent again with the same key through another
+	// flow.
+	repeatEvery = 3
+	settleTime  = 2 * time.Second
+)
+
+// Bookings kills and freezes a balancer, agents and a target and takes the
+// platform down while bookings are sent, a third of them twice with one key. The
+// targets' ledgers tell what ran.
+func Bookings(ctx context.Context, env Env) (Result, error) {
+	running, err := env.start(ctx, deployment.Shapes()["marmot"])
+	if err != nil {
+		return Result{}, err
+	}
+	defer running.Kill()
+	config, err := env.bookingLoad(running.Layout)
+	if err != nil {
+		return Result{}, err
+	}
+	var quiet time.Duration
+	begin := time.Now()
+	recorder, summary, err := underLoad(ctx, config, running.Layout, func(ctx context.Context) error {
+		pause(ctx, env.scaled(warmUpTime))
+		quiet = time.Since(begin)
+		return bookingFaults(ctx, env, running)
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	var result Result
+	result.AtMost("doubled", float64(summary.Doubled), 0)
+	result.AtMost("false_not_run", float64(summary.FalseNotRun), 0)
+	result.AtMost("wrong", float64(summary.Wrong), 0)
+	result.AtMost("unknown_without_failure", float64(unknownBefore(recorder, quiet)), 0)
+	result.AtLeast("answered", float64(summary.Answered), 1)
+	result.AtLeast("repeats_refused", float64(summary.AlreadyRun), 1)
+	result.Info("sent", float64(summary.Sent))
+	result.Info("unknown", float64(summary.Unknown))
+	result.Info("refused_not_run", float64(summary.RefusedNotRun))
+	result.Info("no_flow", float64(summary.NoFlow))
+	result.Info("booking_p99_ms", summary.BookingP99MS)
+	return result, nil
+}
+
+func (e Env) bookingLoad(layout deployment.Layout) (load.Config, error) {
+	config, err := e.mixedLoad(layout)
+	config.Feeds, config.Files, config.Bookings = 0, 0, bookingCallers
+	config.RepeatEvery = repeatEvery
+	return config, err
+}
+
+// bookingFaults breaks one thing after the other, and two at once.
+func bookingFaults(ctx context.Context, env Env, running *fleet.Fleet) error {
+	settle := env.scaled(settleTime)
+	agents := running.Names("booking-feed-")
+	c := changer{running: running, env: env}
+	steps := []func() error{
+		func() error { return c.replace(ctx, agents[0], syscall.SIGKILL) },
+		func() error { return c.replace(ctx, "target-"+agents[1], syscall.SIGKILL) },
+		func() error { return c.freeze(ctx, agents[2]) },
+		func() error { return c.freeze(ctx, "target-"+agents[3]) },
+		func() error { return c.replace(ctx, running.Names("lb-")[0], syscall.SIGKILL) },
+		func() error { return c.replace(ctx, agents[4], syscall.SIGTERM) },
+		func() error {
+			return inject(ctx, running.Layout.Platform, standin.Faults{Outage: standin.OutageRefuse})
+		},
+		func() error { return c.replace(ctx, agents[5], syscall.SIGKILL) },
+		func() error { return inject(ctx, running.Layout.Platform, standin.Faults{}) },
+		func() error { return c.twoAtOnce(ctx, running.Names("lb-")[1], agents[6]) },
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+		pause(ctx, settle)
+	}
+	return nil
+}
+
+// unknownBefore counts the bookings of unknown outcome that ended before
+// anything failed.
+func unknownBefore(recorder *load.Recorder, quiet time.Duration) int {
+	unknown := 0
+	for _, request := range recorder.Requests() {
+		if request.Result == load.ResultUnknown && request.Start+request.Latency < quiet {
+			unknown++
+		}
+	}
+	return unknown
+}
+
+// Billing sends a mixed load, replaces balancers and an agent gracefully
+// meanwhile, stops everything, and compares the metering totals with the
+// callers' own record, to the unit.
+func Billing(ctx context.Context, env Env) (Result, error) {
+	running, err := env.start(ctx, deployment.Shapes()["marmot"])
+	if err != nil {
+		return Result{}, err
+	}
+	defer running.Kill()
+	config, err := env.mixedLoad(running.Layout)
+	if err != nil {
+		return Result{}, err
+	}
+	recorder, _, err := underLoad(ctx, config, running.Layout, func(ctx context.Context) error {
+		pause(ctx, env.scaled(settleTime))
+		c := changer{running: running, env: env}
+		for _, name := range append(running.Names("lb-"), running.Names("booking-feed-")[0]) {
+			if err := c.replace(ctx, name, syscall.SIGTERM); err != nil {
+				return err
+			}
+			pause(ctx, env.scaled(settleTime))
+		}
+		return nil
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	if err := running.StopNodes(); err != nil {
+		return Result{}, Error.Wrap(err)
+	}
+	metered, err := meteredUnits(ctx, running.Layout)
+	if err != nil {
+		return Result{}, err
+	}
+	answered := answeredUnits(recorder)
+	var result Result
+	result.AtMost("units_metered_but_not_answered", difference(metered, answered), 0)
+	result.AtMost("units_answered_but_not_metered", difference(answered, metered), 0)
+	result.AtLeast("units_answered", total(answered), 1)
+	result.Info("units_metered", total(metered))
+	result.Info("customers_and_services", float64(len(answered)))
+	return result, nil
+}
+
+// account is one customer's use of one service.
+type account struct {
+	token   string
+	service string
+}
+
+// answeredUnits counts the whole answers in the callers' own record.
+func answeredUnits(recorder *load.Recorder) map[account]uint64 {
+	units := map[account]uint64{}
+	for _, request := range recorder.Requests() {
+		if request.Result == load.ResultAnswered {
+			units[account{request.Token, request.Service}]++
+		}
+	}
+	return units
+}
+
+// meteredUnits reads the metering totals from the platform.
+func meteredUnits(ctx context.Context, layout deployment.Layout) (map[account]uint64, error) {
+	operator, err := layout.Operator()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer operator.Close()
+	entries, err := operator.Store.List(ctx, "metering/")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	units := map[account]uint64{}
+	for _, entry := range entries {
+		if err := addTotals(units, entry); err != nil {
+			return nil, err
+		}
+	}
+	return units, nil
+}
+
+func addTotals(units map[account]uint64, entry platform.Entry) error {
+	var totals billing.Totals
+	if err := json.Unmarshal(entry.Value, &totals); err != nil {
+		return Error.New("%s: %v", entry.Key, err)
+	}
+	for _, used := range totals.Used {
+		units[account{deployment.TokenOf(used.Customer), string(used.Service)}] += used.Units
+	}
+	return nil
+}
+
+// difference adds up how far a is above b.
+func difference(a, b map[account]uint64) float64 {
+	sum := 0.0
+	for key, units := range a {
+		if units > b[key] {
+			sum += float64(units - b[key])
+		}
+	}
+	return sum
+}
+
+func total(units map[account]uint64) float64 {
+	sum := 0.0
+	for _, n := range units {
+		sum += float64(n)
+	}
+	return sum
+}
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -54,6 +54,9 @@
 	Stop <-chan struct{}
 	// MaxRequests bounds the requests of one caller.
 	MaxRequests int
+	// RepeatEvery makes callers send each so-many-th booking again with the same
+	// key on a new flow; 0 means never.
+	RepeatEvery int
 	// RequestsPerFlow is the number of requests after which a caller opens a new
 	// flow; 0 means never.
 	RequestsPerFlow int
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -26,12 +26,14 @@
 
 // exchange sends one request and checks its answer.
 type exchange struct {
-	client  *http.Client
-	host    string
-	token   string
-	config  Config
-	kind    Kind
-	nonce   string
+	client *http.Client
+	host   string
+	token  string
+	config Config
+	kind   Kind
+	nonce  string
+	// first is the nonce of the request that this one repeats; empty for none.
+	first   string
 	key     string
 	timeout time.Duration
 }
@@ -102,17 +104,20 @@
 	if response.StatusCode/100 != http.StatusOK/100 {
 		return e.checkRefusal(response)
 	}
-	if got := response.Header.Get(answer.HeaderNonce); got != e.nonce {
+	got := response.Header.Get(answer.HeaderNonce)
+	if got == "" || (got != e.nonce && got != e.first) {
 		return ResultWrong, Error.New("answer to %q instead of %q", got, e.nonce)
 	}
-	whole, err := sameBytes(response.Body, answer.Body(e.nonce, e.size()))
+	whole, err := sameBytes(response.Body, answer.Body(got, e.size()))
 	switch {
 	case err != nil && e.kind == KindBooking:
 		return ResultUnknown, err
 	case err != nil:
 		return ResultBroken, err
 	case !whole:
-		return ResultWrong, Error.New("body is not the answer to %q", e.nonce)
+		return ResultWrong, Error.New("body is not the answer to %q", got)
+	case got == e.first:
+		return ResultAlreadyRun, nil
 	}
 	return ResultAnswered, nil
 }
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -44,7 +44,9 @@
 	Service string
 	Nonce   string
 	Key     string
-	Result  Result
+	// Token is the bearer token that the request carried.
+	Token  string
+	Result Result
 	// Status is the HTTP status, 0 without an answer.
 	Status  int
 	Start   time.Duration
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -126,12 +126,33 @@
 		last = min(last, sequence+c.config.RequestsPerFlow)
 	}
 	for ; sequence < last && !c.over(ctx); sequence++ {
-		c.sendOne(ctx, client, sequence)
+		c.sendOne(ctx, client, sequence, nonceOf)
+		c.repeat(ctx, endpoint, sequence)
 		c.pause(ctx)
 	}
 	return sequence
 }
 
+// repeat sends a booking again with the same key, on a flow of its own.
+func (c *caller) repeat(ctx context.Context, endpoint *quic.Transport, sequence int) {
+	if c.kind != KindBooking || c.config.RepeatEvery == 0 || sequence%c.config.RepeatEvery != 0 {
+		return
+	}
+	transport := c.transport(endpoint)
+	defer transport.Close()
+	c.sendOne(ctx, &http.Client{Transport: transport}, sequence, repeatNonceOf)
+}
+
+// nonceOf names the first request of a sequence number.
+func nonceOf(seed uint64, caller, sequence int) string {
+	return fmt.Sprintf("%d-%d-%d", seed, caller, sequence)
+}
+
+// repeatNonceOf names the request that repeats it.
+func repeatNonceOf(seed uint64, caller, sequence int) string {
+	return nonceOf(seed, caller, sequence) + "-again"
+}
+
 // over reports whether no more requests are to be started.
 func (c *caller) over(ctx context.Context) bool {
 	select {
@@ -164,8 +185,8 @@
 	}
 }
 
-func (c *caller) sendOne(ctx context.Context, client *http.Client, sequence int) {
-	nonce := fmt.Sprintf("%d-%d-%d", c.config.Seed, c.number, sequence)
+func (c *caller) sendOne(ctx context.Context, client *http.Client, sequence int, name func(uint64, int, int) string) {
+	nonce := name(c.config.Seed, c.number, sequence)
 	sending := exchange{
 		client:  client,
 		host:    c.service.Address.String(),
@@ -175,7 +196,11 @@
 		timeout: c.config.RequestTimeout,
 	}
 	if c.kind == KindBooking {
-		sending.key = "key-" + nonce
+		first := nonceOf(c.config.Seed, c.number, sequence)
+		sending.key = "key-" + first
+		if first != nonce {
+			sending.first = first
+		}
 	}
 	if len(c.config.Tokens) > 0 {
 		sending.token = c.config.Tokens[c.number%len(c.config.Tokens)]
@@ -183,6 +208,7 @@
 	begin := time.Now()
 	c.recorder.addSent()
 	record := sending.run(ctx)
+	record.Token = sending.token
 	record.Service = string(c.service.Name)
 	record.Start = begin.Sub(c.start)
 	record.Latency = time.Since(begin)
--- a/internal/standin/deployment/documents.go
+++ b/internal/standin/deployment/documents.go
@@ -33,11 +33,14 @@
 func Tokens() []string {
 	var tokens []string
 	for number := range customerCount {
-		tokens = append(tokens, "token-of-"+string(customerName(number)))
+		tokens = append(tokens, TokenOf(customerName(number)))
 	}
 	return tokens
 }
 
+// TokenOf returns the bearer token of a customer.
+func TokenOf(customer model.Customer) string { return "token-of-" + string(customer) }
+
 // Contents returns the operators' first lists: all customers on one plan, and
 // nothing out of service.
 func Contents(services []model.Service) []plan.Content {
