--- a/internal/experiment/bookings.go
+++ b/internal/experiment/bookings.go
@@ -10,8 +10,8 @@
 	"github.com/balsamlink/balsamlink/internal/load"
 	"github.com/balsamlink/balsamlink/internal/platform"
 	"github.com/balsamlink/balsamlink/internal/standin/deployment"
-	"github.com/balsamlink/balsamlink/internal/standin/fleet"
 	standin "github.com/balsamlink/balsamlink/internal/standin/platform"
+	"github.com/balsamlink/balsamlink/internal/standin/target"
 )
 
 func init() {
@@ -31,25 +31,29 @@
 // platform down while bookings are sent, a third of them twice with one key. The
 // targets' ledgers tell what ran.
 func Bookings(ctx context.Context, env Env) (Result, error) {
-	running, err := env.start(ctx, deployment.Shapes()["marmot"])
+	running, config, err := env.deploy(ctx, deployment.Shapes()["marmot"])
 	if err != nil {
 		return Result{}, err
 	}
 	defer running.Kill()
-	config, err := env.bookingLoad(running.Layout)
-	if err != nil {
-		return Result{}, err
-	}
+	config = bookingsOnly(config)
 	var quiet time.Duration
 	begin := time.Now()
-	recorder, summary, err := underLoad(ctx, config, running.Layout, func(ctx context.Context) error {
+	faults := bookingFaults{changer: changer{running: running, env: env}}
+	recorder, _, err := underLoad(ctx, config, running.Layout, func(ctx context.Context) error {
 		pause(ctx, env.scaled(warmUpTime))
 		quiet = time.Since(begin)
-		return bookingFaults(ctx, env, running)
+		return faults.run(ctx)
 	})
 	if err != nil {
 		return Result{}, err
 	}
+	ledger, err := load.FetchLedger(ctx, running.Layout.TargetAddresses())
+	if err != nil {
+		return Result{}, Error.Wrap(err)
+	}
+	load.AddLedger(&ledger, faults.lost)
+	summary := recorder.Summarize(ledger)
 	var result Result
 	result.AtMost("doubled", float64(summary.Doubled), 0)
 	result.AtMost("false_not_run", float64(summary.FalseNotRun), 0)
@@ -65,41 +69,56 @@
 	return result, nil
 }
 
-func (e Env) bookingLoad(layout deployment.Layout) (load.Config, error) {
-	config, err := e.mixedLoad(layout)
+// bookingsOnly makes a load one of bookings, some of them sent twice.
+func bookingsOnly(config load.Config) load.Config {
 	config.Feeds, config.Files, config.Bookings = 0, 0, bookingCallers
 	config.RepeatEvery = repeatEvery
-	return config, err
+	return config
 }
 
 // bookingFaults breaks one thing after the other, and two at once.
-func bookingFaults(ctx context.Context, env Env, running *fleet.Fleet) error {
-	settle := env.scaled(settleTime)
-	agents := running.Names("booking-feed-")
-	c := changer{running: running, env: env}
+type bookingFaults struct {
+	changer
+	// lost is what the killed target had run.
+	lost target.Ledger
+}
+
+func (b *bookingFaults) run(ctx context.Context) error {
+	agents := b.running.Names("booking-feed-")
+	balancers := b.running.Names("lb-")
+	platformAt := b.running.Layout.Platform
 	steps := []func() error{
-		func() error { return c.replace(ctx, agents[0], syscall.SIGKILL) },
-		func() error { return c.replace(ctx, "target-"+agents[1], syscall.SIGKILL) },
-		func() error { return c.freeze(ctx, agents[2]) },
-		func() error { return c.freeze(ctx, "target-"+agents[3]) },
-		func() error { return c.replace(ctx, running.Names("lb-")[0], syscall.SIGKILL) },
-		func() error { return c.replace(ctx, agents[4], syscall.SIGTERM) },
-		func() error {
-			return inject(ctx, running.Layout.Platform, standin.Faults{Outage: standin.OutageRefuse})
-		},
-		func() error { return c.replace(ctx, agents[5], syscall.SIGKILL) },
-		func() error { return inject(ctx, running.Layout.Platform, standin.Faults{}) },
-		func() error { return c.twoAtOnce(ctx, running.Names("lb-")[1], agents[6]) },
+		func() error { return b.replace(ctx, agents[0], syscall.SIGKILL) },
+		func() error { return b.killTarget(ctx, 1) },
+		func() error { return b.freeze(ctx, agents[2]) },
+		func() error { return b.freeze(ctx, "target-"+agents[3]) },
+		func() error { return b.replace(ctx, balancers[0], syscall.SIGKILL) },
+		func() error { return b.replace(ctx, agents[4], syscall.SIGTERM) },
+		func() error { return inject(ctx, platformAt, standin.Faults{Outage: standin.OutageRefuse}) },
+		func() error { return b.replace(ctx, agents[5], syscall.SIGKILL) },
+		func() error { return inject(ctx, platformAt, standin.Faults{}) },
+		func() error { return b.twoAtOnce(ctx, balancers[1], agents[6]) },
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
 		}
-		pause(ctx, settle)
+		pause(ctx, b.env.scaled(settleTime))
 	}
 	return nil
 }
 
+// killTarget kills a target of the first service. Its ledger is read just
+// before, so that what it had run still counts.
+func (b *bookingFaults) killTarget(ctx context.Context, number int) error {
+	var err error
+	b.lost, err = load.FetchLedger(ctx, b.running.Layout.Services[0].Targets[number:number+1])
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return b.replace(ctx, "target-"+b.running.Names("booking-feed-")[number], syscall.SIGKILL)
+}
+
 // unknownBefore counts the bookings of unknown outcome that ended before
 // anything failed.
 func unknownBefore(recorder *load.Recorder, quiet time.Duration) int {
@@ -116,15 +135,11 @@
 // meanwhile, stops everything, and compares the metering totals with the
 // callers' own record, to the unit.
 func Billing(ctx context.Context, env Env) (Result, error) {
-	running, err := env.start(ctx, deployment.Shapes()["marmot"])
+	running, config, err := env.deploy(ctx, deployment.Shapes()["marmot"])
 	if err != nil {
 		return Result{}, err
 	}
 	defer running.Kill()
-	config, err := env.mixedLoad(running.Layout)
-	if err != nil {
-		return Result{}, err
-	}
 	recorder, _, err := underLoad(ctx, config, running.Layout, func(ctx context.Context) error {
 		pause(ctx, env.scaled(settleTime))
 		c := changer{running: running, env: env}
--- a/internal/experiment/brokenflows.go
+++ b/internal/experiment/brokenflows.go
@@ -21,15 +21,11 @@
 // replaces agents, and does two of these at once, under a checked load. No
 // established flow may break.
 func BrokenFlows(ctx context.Context, env Env) (Result, error) {
-	running, err := env.start(ctx, deployment.Shapes()["marmot"])
+	running, config, err := env.deploy(ctx, deployment.Shapes()["marmot"])
 	if err != nil {
 		return Result{}, err
 	}
 	defer running.Kill()
-	config, err := env.mixedLoad(running.Layout)
-	if err != nil {
-		return Result{}, err
-	}
 	changes := changer{running: running, env: env}
 	recorder, summary, err := underLoad(ctx, config, running.Layout, changes.run)
 	if err != nil {
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -124,6 +124,20 @@
 	return running, Error.Wrap(err)
 }
 
+// deploy starts a deployment and returns it with a load on its services.
+func (e Env) deploy(ctx context.Context, shape deployment.Shape) (*fleet.Fleet, load.Config, error) {
+	running, err := e.start(ctx, shape)
+	if err != nil {
+		return nil, load.Config{}, err
+	}
+	config, err := e.mixedLoad(running.Layout)
+	if err != nil {
+		running.Kill()
+		return nil, load.Config{}, err
+	}
+	return running, config, nil
+}
+
 // mixedLoad returns a load on all services of a deployment.
 func (e Env) mixedLoad(layout deployment.Layout) (load.Config, error) {
 	config := load.Config{
--- a/internal/experiment/imbalance.go
+++ b/internal/experiment/imbalance.go
@@ -29,15 +29,11 @@
 		Name: "balance", Zones: []model.Zone{"a", "b", "c"}, Balancers: 3,
 		Services: []deployment.ServiceShape{{Name: "booking-feed", Servers: 8, Slots: 5}},
 	}
-	running, err := env.start(ctx, shape)
+	running, config, err := env.deploy(ctx, shape)
 	if err != nil {
 		return Result{}, err
 	}
 	defer running.Kill()
-	config, err := env.mixedLoad(running.Layout)
-	if err != nil {
-		return Result{}, err
-	}
 	config.Feeds, config.Files, config.Bookings = imbalanceFeeds, 0, imbalanceBookings
 	config.RequestsPerFlow = 1
 	samples := sampler{running: running, agents: running.Names("booking-feed-"), slots: shape.Services[0].Slots}
--- a/internal/experiment/outage.go
+++ b/internal/experiment/outage.go
@@ -55,15 +55,11 @@
 // load.
 func PlatformOutage(ctx context.Context, env Env) (Result, error) {
 	shape := deployment.Shapes()["marmot"]
-	running, err := env.start(ctx, shape)
+	running, config, err := env.deploy(ctx, shape)
 	if err != nil {
 		return Result{}, err
 	}
 	defer running.Kill()
-	config, err := env.mixedLoad(running.Layout)
-	if err != nil {
-		return Result{}, err
-	}
 	steps := outage{running: running, env: env, zone: shape.Zones[0], begin: time.Now()}
 	recorder, summary, err := underLoad(ctx, config, running.Layout, steps.run)
 	if err != nil {
--- a/internal/experiment/zone.go
+++ b/internal/experiment/zone.go
@@ -29,15 +29,11 @@
 // ZoneLeaveReturn takes one zone of three out of service while one balancer is
 // paused, lets the balancer go on, and returns the zone, under a checked load.
 func ZoneLeaveReturn(ctx context.Context, env Env) (Result, error) {
-	running, err := env.start(ctx, deployment.Shapes()["marmot"])
+	running, config, err := env.deploy(ctx, deployment.Shapes()["marmot"])
 	if err != nil {
 		return Result{}, err
 	}
 	defer running.Kill()
-	config, err := env.mixedLoad(running.Layout)
-	if err != nil {
-		return Result{}, err
-	}
 	zone := zoneChange{running: running, env: env, zone: deployment.Shapes()["marmot"].Zones[1], begin: time.Now()}
 	recorder, summary, err := underLoad(ctx, config, running.Layout, zone.run)
 	if err != nil {
--- a/internal/failure/failure_test.go
+++ b/internal/failure/failure_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -281,3 +282,40 @@
 	})
 	return found
 }
+
+// requireNever runs an experiment at a small scale and checks the figures that
+// must hold at any scale.
+func requireNever(t *testing.T, name string, scale float64, never ...string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*testTimeout)
+	defer cancel()
+	result, err := experiment.Run(ctx, name, experiment.Env{Programs: programs, Folder: t.TempDir(), Seed: 1, Scale: scale})
+	require.NoError(t, err)
+	found := 0
+	for _, figure := range result.Figures {
+		if !slices.Contains(never, figure.Name) {
+			continue
+		}
+		found++
+		require.True(t, figure.Met, "%s: %v, target %s\n%s", figure.Name, figure.Value, figure.Target, result)
+	}
+	require.Len(t, never, found)
+}
+
+func TestAZoneThatIsOutGetsNoPacketEvenFromABalancerThatWasPaused(t *testing.T) {
+	requireNever(t, "zone-leave-return", 0.2,
+		"packets_after_limit", "wrong", "doubled", "false_not_run", "target_collapses", "zone_packets_after_return")
+}
+
+func TestAZoneStaysOutWhileThePlatformIsDown(t *testing.T) {
+	requireNever(t, "platform-outage", 0.2,
+		"packets_after_limit", "nodes_behind_after_restart", "wrong", "doubled", "false_not_run", "target_collapses")
+}
+
+func TestBookingsRunOnceWhileThingsFail(t *testing.T) {
+	requireNever(t, "bookings", 0.2,
+		"doubled", "false_not_run", "wrong", "unknown_without_failure", "repeats_refused")
+}
+
+func TestBillsEqualTheCallersRecord(t *testing.T) {
+	requireNever(t, "billing", 0.3, "units_metered_but_not_answered", "units_answered_but_not_metered", "units_answered")
+}
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/balsamlink/balsamlink/internal/standin/target"
 )
 
@@ -55,7 +57,8 @@
 	for _, runs := range ledger.Keys {
 		s.Doubled += max(runs-1, 0)
 	}
-	short := r.latency[KindFile]
+	short := hdrhistogram.New(minLatencyUS, maxLatencyUS, latencyDigits)
+	short.Merge(r.latency[KindFile])
 	short.Merge(r.latency[KindBooking])
 	s.P50MS = float64(short.ValueAtQuantile(median)) / usPerMS
 	s.P99MS = float64(short.ValueAtQuantile(percentile99)) / usPerMS
@@ -91,12 +94,13 @@
 		if err != nil {
 			return target.Ledger{}, err
 		}
-		addLedger(&sum, one)
+		AddLedger(&sum, one)
 	}
 	return sum, nil
 }
 
-func addLedger(sum *target.Ledger, one target.Ledger) {
+// AddLedger adds one ledger to another.
+func AddLedger(sum *target.Ledger, one target.Ledger) {
 	for nonce, runs := range one.Nonces {
 		sum.Nonces[nonce] += runs
 	}
