Keep the homes of all first proposals of a service's roster

Cause: TestKeysSurviveADeadHome hung in one run of five. All five agents proposed the first roster at once; a home keeps the tables of four proposals and dropped the oldest, which came to be in force. Two deaths right after left no majority, so keyed bookings were refused for the record's lifetime (safe, but not live). Change: 16 proposals are kept, and agents take turns of 100 ms for the first roster. Ruled out: the lost answer of the platform (it comes after the hang began). TestHomeKeepsTheTablesOfAllFirstProposals fails with the old bound.

--- a/internal/booking/booking_test.go
+++ b/internal/booking/booking_test.go
@@ -325,3 +325,18 @@
 	kept := Choose(Roster{Members: chosen}, append(agents, Member{Node: "8", Zone: "0"}))
 	require.Equal(t, chosen, kept, "a newcomer moves no home")
 }
+
+// All agents of a service may propose its first roster at once. The home keeps
+// what it was filled with for each, whichever comes to be in force.
+func TestHomeKeepsTheTablesOfAllFirstProposals(t *testing.T) {
+	const proposals = 7
+	home := NewHome(Limits{Records: 10, AnswerBytes: 1000}, Boot{1})
+	id := func(n int) RosterID { return RosterID{Epoch: 1, Random: [16]byte{byte(n)}} }
+	for n := range proposals {
+		response := home.Handle(0, Request{Op: OpInstall, Roster: id(n), Boot: Boot{1}, Last: true})
+		require.Equal(t, StatusDone, response.Status)
+	}
+	home.Handle(0, Request{Op: OpNotify, Known: Roster{ID: id(0), Members: []Member{{Node: "a"}}}})
+	response := home.Handle(0, Request{Op: OpClaim, Roster: id(0), Key: KeyID{1}, Claim: ClaimID{1}})
+	require.NotEqual(t, StatusNoTable, response.Status)
+}
--- a/internal/booking/claims/claim.go
+++ b/internal/booking/claims/claim.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/balsamlink/balsamlink/internal/booking"
 	"github.com/balsamlink/balsamlink/internal/codec"
 	"github.com/balsamlink/balsamlink/internal/model"
@@ -63,6 +65,10 @@
 	}
 }
 
+// ErrReplacing tells that the homes of a key were being replaced for the whole
+// time that a claim may take. The request has not run.
+var ErrReplacing = errs.New("the homes of the idempotency key are being replaced")
+
 // wait lets a roster that is being replaced settle.
 func (t *try) wait(ctx context.Context, claimant *booking.Claimant) error {
 	if t.keeper.adopt(claimant.Newest()) {
@@ -72,7 +78,7 @@
 	t.keeper.look()
 	select {
 	case <-ctx.Done():
-		return Error.New("the homes of the idempotency key are being replaced")
+		return Error.Wrap(ErrReplacing)
 	case <-time.After(movedPause):
 		return nil
 	}
--- a/internal/booking/claims/claims_test.go
+++ b/internal/booking/claims/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -161,8 +162,16 @@
 	return request.Key{Service: "memberdesk", Customer: "c", Key: name}
 }
 
+// outcome claims a key and returns what is known of it, nil when the claim was
+// won. A claim that is refused while homes are being replaced is made again: such
+// a refusal is allowed, a claim that is won wrongly is not.
 func (s *service) outcome(k *Keeper, name string) *request.KnownError {
-	claim, err := k.Claim(context.Background(), key(name))
+	var claim request.Claim
+	var err error
+	s.until(func() bool {
+		claim, err = k.Claim(context.Background(), key(name))
+		return !errors.Is(err, ErrReplacing)
+	})
 	if err == nil {
 		claim.Release()
 		return nil
--- a/internal/booking/claims/rosters.go
+++ b/internal/booking/claims/rosters.go
@@ -23,6 +23,8 @@
 	// it is replaced, and stagger the time between two agents that do so.
 	settleTime = 2 * time.Second
 	stagger    = time.Second
+	// firstStagger is the same for the first roster of a service.
+	firstStagger = 100 * time.Millisecond
 	// maxFruitless bounds how often the settle time doubles while changes don't
 	// lead to the wanted homes, as with an agent that is reached one way only.
 	maxFruitless = 5
@@ -99,7 +101,7 @@
 	if len(wanted) == 0 || now < r.nextPlatform {
 		return
 	}
-	if !r.due(now, roster, members, wanted) && !(kicked && roster.ID.Epoch == 0) {
+	if !r.due(now, roster, members, wanted) {
 		return
 	}
 	r.replace(ctx, members)
@@ -128,8 +130,11 @@
 		r.differsSince = now
 	}
 	wait := settleTime<<min(r.fruitless, maxFruitless) + time.Duration(r.turn(roster, members))*stagger
-	if r.keeper.leaving.Load() || roster.ID.Epoch == 0 {
+	switch {
+	case r.keeper.leaving.Load():
 		wait = 0
+	case roster.ID.Epoch == 0:
+		wait = time.Duration(r.turn(roster, members)) * firstStagger
 	}
 	return now.Sub(r.differsSince) >= wait
 }
--- a/internal/booking/home.go
+++ b/internal/booking/home.go
@@ -21,7 +21,7 @@
 	pageRecords = 2000
 	pageBytes   = 512 << 10
 	// maxCandidates is the number of proposed rosters that a home is filled for.
-	maxCandidates = 4
+	maxCandidates = 16
 )
 
 type held struct {
