Use one maker of test certificates

Cause: the same certificate code stood in three test packages. Change: rpc and pathtest take the configuration of standin/mutual, whose certificate now has a common name.

--- a/internal/pathtest/path_test.go
+++ b/internal/pathtest/path_test.go
@@ -4,16 +4,11 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/big"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -31,10 +26,12 @@
 	"github.com/balsamlink/balsamlink/internal/model"
 	"github.com/balsamlink/balsamlink/internal/standin/answer"
 	"github.com/balsamlink/balsamlink/internal/standin/fabric"
+	"github.com/balsamlink/balsamlink/internal/standin/mutual"
 	"github.com/balsamlink/balsamlink/internal/steering"
 )
 
-const service = model.Service("memberdesk")
+// service has the name in the test certificate.
+const service = model.Service(mutual.Name)
 
 var (
 	loopback = netip.MustParseAddrPort("127.0.0.1:0")
@@ -67,22 +64,22 @@
 }
 
 type path struct {
-	fabric    *fabric.Fabric
-	balancers []*balancer.Traffic
-	agents    []*agent.Front
-	pool      *x509.CertPool
-	table     *steering.Table
+	fabric      *fabric.Fabric
+	balancers   []*balancer.Traffic
+	agents      []*agent.Front
+	authorities *x509.CertPool
+	table       *steering.Table
 }
 
 func startPath(t *testing.T, balancers, agents int) *path {
-	certificate, pool := selfSigned(t)
-	p := &path{pool: pool}
-	var err error
+	config, err := mutual.TLS()
+	require.NoError(t, err)
+	p := &path{authorities: config.RootCAs}
 	p.fabric, err = fabric.Start(fabric.Config{Listen: loopback, Services: []netip.AddrPort{loopback}, Seed: 1})
 	require.NoError(t, err)
 	t.Cleanup(p.fabric.Stop)
 	for range agents {
-		p.agents = append(p.agents, startAgent(t, certificate))
+		p.agents = append(p.agents, startAgent(t, config.Certificates))
 	}
 	p.table = tableOf(t, p.agents)
 	var fronts []netip.AddrPort
@@ -95,10 +92,10 @@
 	return p
 }
 
-func startAgent(t *testing.T, certificate tls.Certificate) *agent.Front {
+func startAgent(t *testing.T, certificates []tls.Certificate) *agent.Front {
 	front, err := agent.NewFront(agent.FrontConfig{
 		Data: loopback, Zone: "a", Service: service, Shared: shared, Requests: answers{},
-		TLS: &tls.Config{Certificates: []tls.Certificate{certificate}},
+		TLS: &tls.Config{Certificates: certificates},
 	})
 	require.NoError(t, err)
 	go front.Serve()
@@ -139,27 +136,10 @@
 	return steering.NewTable(input)
 }
 
-func selfSigned(t *testing.T) (tls.Certificate, *x509.CertPool) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: string(service)},
-		DNSNames: []string{string(service)}, NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	require.NoError(t, err)
-	leaf, err := x509.ParseCertificate(der)
-	require.NoError(t, err)
-	pool := x509.NewCertPool()
-	pool.AddCert(leaf)
-	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
-}
-
 func (p *path) load() load.Config {
 	return load.Config{
 		Services:    []load.Service{{Name: service, Address: p.fabric.Services()[0]}},
-		Authorities: p.pool, Feeds: 4, Files: 4, Bookings: 4,
+		Authorities: p.authorities, Feeds: 4, Files: 4, Bookings: 4,
 		Duration: 30 * time.Second, MaxRequests: 10, RequestTimeout: 20 * time.Second,
 		FileSize: 200_000, FeedBlocks: 50, Seed: 1,
 	}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -3,22 +3,17 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
 	"io"
-	"math/big"
 	"net"
 	"net/netip"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
+
+	"github.com/balsamlink/balsamlink/internal/standin/mutual"
 )
 
 type echo struct {
@@ -26,38 +21,16 @@
 	N    uint64
 }
 
-func selfSigned(t *testing.T) (tls.Certificate, *x509.CertPool) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1),
-		Subject:      pkix.Name{CommonName: "node-1"},
-		DNSNames:     []string{"test"},
-		NotAfter:     time.Now().Add(time.Hour),
-		IsCA:         true, BasicConstraintsValid: true,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	require.NoError(t, err)
-	leaf, err := x509.ParseCertificate(der)
-	require.NoError(t, err)
-	pool := x509.NewCertPool()
-	pool.AddCert(leaf)
-	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
-}
-
-func serve(t *testing.T) (netip.AddrPort, *Client, *x509.CertPool) {
+func serve(t *testing.T) (netip.AddrPort, *Client, *tls.Config) {
 	return serveOn(t, func(l net.Listener) net.Listener { return l })
 }
 
-func serveOn(t *testing.T, wrap func(net.Listener) net.Listener) (netip.AddrPort, *Client, *x509.CertPool) {
-	certificate, pool := selfSigned(t)
+func serveOn(t *testing.T, wrap func(net.Listener) net.Listener) (netip.AddrPort, *Client, *tls.Config) {
+	config, err := mutual.TLS()
+	require.NoError(t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	server := NewServer(&tls.Config{
-		Certificates: []tls.Certificate{certificate},
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		ClientCAs:    pool,
-	}, logrus.NewEntry(log))
+	server := NewServer(config, logrus.NewEntry(log))
 	server.Handle(MethodPing, Typed(func(_ context.Context, peer Peer, req echo) (echo, error) {
 		if req.Text == "fail" {
 			return echo{}, Error.New("asked to fail")
@@ -68,9 +41,9 @@
 	require.NoError(t, err)
 	server.Serve(wrap(listener))
 	t.Cleanup(func() { server.Close() })
-	client := NewClient(&tls.Config{Certificates: []tls.Certificate{certificate}, RootCAs: pool, ServerName: "test"})
+	client := NewClient(config)
 	t.Cleanup(client.Close)
-	return listener.Addr().(*net.TCPAddr).AddrPort(), client, pool
+	return listener.Addr().(*net.TCPAddr).AddrPort(), client, config
 }
 
 func TestCallReturnsTheReplyToItsOwnRequest(t *testing.T) {
@@ -78,7 +51,7 @@
 	for n := range uint64(20) {
 		reply, err := Call[echo, echo](context.Background(), client, addr, MethodPing, echo{Text: "hi", N: n})
 		require.NoError(t, err)
-		require.Equal(t, echo{Text: "node-1 hi", N: n + 1}, reply)
+		require.Equal(t, echo{Text: mutual.Name + " hi", N: n + 1}, reply)
 	}
 }
 
@@ -102,8 +75,8 @@
 }
 
 func TestPeerWithoutCertificateIsRefused(t *testing.T) {
-	addr, _, pool := serve(t)
-	stranger := NewClient(&tls.Config{RootCAs: pool, ServerName: "test"})
+	addr, _, config := serve(t)
+	stranger := NewClient(&tls.Config{RootCAs: config.RootCAs, ServerName: mutual.Name})
 	defer stranger.Close()
 	_, err := Call[echo, echo](context.Background(), stranger, addr, MethodPing, echo{Text: "hi"})
 	require.Error(t, err)
--- a/internal/standin/mutual/mutual.go
+++ b/internal/standin/mutual/mutual.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
+	"crypto/x509/pkix"
 	"math/big"
 	"time"
 
@@ -17,10 +18,10 @@
 // Error is the class of all errors of this layer.
 var Error = errs.Class("mutual")
 
-const (
-	serverName = "test"
-	lifetime   = time.Hour
-)
+// Name is the DNS name and the common name in the certificate.
+const Name = "test"
+
+const lifetime = time.Hour
 
 // TLS returns a configuration with a new certificate that trusts itself.
 func TLS() (*tls.Config, error) {
@@ -29,7 +30,7 @@
 		return nil, Error.Wrap(err)
 	}
 	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), DNSNames: []string{serverName}, NotAfter: time.Now().Add(lifetime),
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: Name}, DNSNames: []string{Name}, NotAfter: time.Now().Add(lifetime),
 		IsCA: true, BasicConstraintsValid: true,
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
@@ -45,6 +46,6 @@
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
-		RootCAs:      pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, ServerName: serverName,
+		RootCAs:      pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, ServerName: Name,
 	}, nil
 }
