--- a/internal/standin/deployment/layout.go
+++ b/internal/standin/deployment/layout.go
@@ -157,7 +157,7 @@
 	}
 	w.writeJSON(FileOperator, settings.Operator{
 		Author:   OperatorName,
-		Keys:     devcerts.NodeFiles(w.folder, OperatorName),
+		Keys:     devcerts.NodeFiles("", OperatorName),
 		Seeds:    w.layout.Seeds,
 		Platform: plugin("httpkv", w.platform(OperatorName)),
 	})
@@ -241,7 +241,7 @@
 		for number := range service.Servers {
 			at := func(port uint16) netip.AddrPort { return w.net.server(i, number, port) }
 			name := ServerName(service.Name, number)
-			certificate, key := devcerts.ServiceFiles(w.folder, string(service.Name))
+			certificate, key := devcerts.ServiceFiles("", string(service.Name))
 			agent := settings.Agent{
 				Node:        w.node(name, w.zone(number), at),
 				Service:     service.Name,
@@ -280,7 +280,7 @@
 func (w *writer) node(name model.NodeID, zone model.Zone, at func(uint16) netip.AddrPort) settings.Node {
 	node := settings.Node{
 		Name: name, Zone: zone,
-		Keys:    devcerts.NodeFiles(w.folder, string(name)),
+		Keys:    devcerts.NodeFiles("", string(name)),
 		Control: at(portControl), Data: at(portData), Operators: at(portOperators),
 		DrainSeconds: drainSeconds,
 		Seeds:        w.layout.Seeds,
--- /dev/null
+++ b/internal/standin/deployment/layout_test.go
@@ -0,0 +1,28 @@
+package deployment
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The example settings are those that Write makes.
+func TestExampleSettingsAreCurrent(t *testing.T) {
+	for name, shape := range Shapes() {
+		folder := t.TempDir()
+		_, err := Write(shape, Net{Octet: defaultOctet}, folder)
+		require.NoError(t, err)
+		examples, err := filepath.Glob(filepath.Join("../../../examples", name, "settings", "*.json"))
+		require.NoError(t, err)
+		require.NotEmpty(t, examples)
+		for _, example := range examples {
+			want, err := os.ReadFile(filepath.Join(folder, filepath.Base(example)))
+			require.NoError(t, err)
+			got, err := os.ReadFile(example)
+			require.NoError(t, err)
+			require.Equal(t, string(want), string(got), example)
+		}
+	}
+}
