--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -85,6 +85,7 @@
 		return nil, Error.Wrap(err)
 	}
 	c.Cluster.OnDocument(library.Take)
+	c.addCounters()
 	c.Server.Handle(rpc.MethodStatus, rpc.Typed(c.report))
 	return c, nil
 }
@@ -123,3 +124,17 @@
 	}
 	return Error.Wrap(c.Server.Close())
 }
+
+// addCounters shows the revisions in force and the size of the view.
+func (c *Control) addCounters() {
+	if c.counters == nil {
+		return
+	}
+	for kind := range model.DocumentKind(model.DocumentCount) {
+		name := "revision_" + kind.String()
+		c.counters.GaugeFunc(name, "Revision of the document in force: "+kind.String()+".",
+			func() int64 { return int64(c.Library.Book().Revisions()[kind]) })
+	}
+	c.counters.GaugeFunc("nodes_known", "Nodes in the view.",
+		func() int64 { return int64(len(c.Cluster.View().Records)) })
+}
