Tell a repeat that meets a running request from an unknown outcome

Likely, not traced: a repeat whose first request's outcome was still being recorded is refused as in progress, and the load tool took that refusal for an unknown outcome. Change: the load tool tells it apart, and only for repeats; the result keeps the unknown bookings.

--- a/internal/experiment/bookings.go
+++ b/internal/experiment/bookings.go
@@ -66,6 +66,7 @@
 	result.Info("refused_not_run", float64(summary.RefusedNotRun))
 	result.Info("no_flow", float64(summary.NoFlow))
 	result.Info("booking_p99_ms", summary.BookingP99MS)
+	result.Detail = unknowns(recorder)
 	return result, nil
 }
 
@@ -131,6 +132,17 @@
 	return unknown
 }
 
+// unknowns returns the first bookings of unknown outcome.
+func unknowns(recorder *load.Recorder) []load.Request {
+	var found []load.Request
+	for _, request := range recorder.Requests() {
+		if request.Result == load.ResultUnknown && len(found) < maxFailures {
+			found = append(found, request)
+		}
+	}
+	return found
+}
+
 // Billing sends a mixed load, replaces balancers and an agent gracefully
 // meanwhile, stops everything, and compares the metering totals with the
 // callers' own record, to the unit.
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -27,6 +27,9 @@
 	// OutcomeAlreadyRun means that an earlier request with the same idempotency
 	// key has run.
 	OutcomeAlreadyRun = "already-run"
+	// OutcomeInProgress means that an earlier request with the same idempotency
+	// key is running, or that its outcome is still being recorded.
+	OutcomeInProgress = "in-progress"
 )
 
 // Service is one service to send to.
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -130,6 +130,8 @@
 		return ResultNotRun, err
 	case OutcomeAlreadyRun:
 		return ResultAlreadyRun, err
+	case OutcomeInProgress:
+		return e.refusalInProgress(), err
 	case OutcomeUnknown:
 		return ResultUnknown, err
 	}
@@ -139,6 +141,15 @@
 	return ResultWrong, err
 }
 
+// refusalInProgress classes the refusal of a repeat. A first request has no
+// earlier one that could be in progress.
+func (e exchange) refusalInProgress() Result {
+	if e.first == "" {
+		return ResultWrong
+	}
+	return ResultAlreadyRun
+}
+
 const (
 	maxRefusalText = 512
 	compareBuffer  = 16 << 10
