Move the HTTP calls of the store's client into a package of their own

Cause: the users' platform speaks another store protocol than httpkv, and a second copy of timeouts, budget, retries and their metrics would be needed. Change: internal/platform/httpcall carries calls for both protocols; rpc speaks plain TCP where no TLS configuration is given; command.Process takes the function that loads settings.

--- a/cmd/balsamlb/main.go
+++ b/cmd/balsamlb/main.go
@@ -16,6 +16,7 @@
 	process := command.Process[settings.Balancer]{
 		Name:  "balsamlb",
 		Usage: "steer callers' datagrams to the agents of their service",
+		Load:  settings.Load[settings.Balancer],
 		Level: func(s settings.Balancer) string { return s.Node.LogLevel },
 		Check: balancer.Check,
 		Run:   balancer.Run,
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -14,13 +14,17 @@
 
 	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/observe"
-	"github.com/balsamlink/balsamlink/internal/settings"
 )
 
 // Process describes a program that runs with settings of type T.
 type Process[T any] struct {
 	Name  string
 	Usage string
+	// Load reads the settings file at a path and checks it in full.
+	Load func(path string) (T, error)
+	// Variable names the environment variable that stands in for the flag
+	// --settings; empty means that there is none.
+	Variable string
 	// Level returns the log level that the settings ask for.
 	Level func(T) string
 	// Check checks settings without opening anything.
@@ -62,18 +66,25 @@
 		Name:  p.Name,
 		Usage: p.Usage,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "JSON `FILE` with the settings", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "JSON `FILE` with the settings", Required: true, Sources: p.sources()},
 			&cli.BoolFlag{Name: "check-settings", Usage: "check the settings and end"},
 		},
 		Action: p.act,
 	}
 }
 
+func (p Process[T]) sources() cli.ValueSourceChain {
+	if p.Variable == "" {
+		return cli.ValueSourceChain{}
+	}
+	return cli.EnvVars(p.Variable)
+}
+
 func (p Process[T]) act(ctx context.Context, command *cli.Command) error {
 	if command.Args().Present() {
 		return kernel.Usage(errors.New("argument " + command.Args().First() + " is not expected"))
 	}
-	loaded, err := settings.Load[T](command.String("settings"))
+	loaded, err := p.Load(command.String("settings"))
 	if err != nil {
 		return kernel.Usage(err)
 	}
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/balsamlink/balsamlink/internal/command"
+	"github.com/balsamlink/balsamlink/internal/settings"
 	"github.com/balsamlink/balsamlink/internal/devcerts"
 	"github.com/balsamlink/balsamlink/internal/kernel"
 )
@@ -35,6 +36,7 @@
 		require.Equal(t, c.code, command.Execute(root, c.arguments), "%v", c.arguments)
 	}
 	process := command.Process[struct{}]{
+		Load:  settings.Load[struct{}],
 		Name:  "process",
 		Level: func(struct{}) string { return "" },
 		Run:   func(context.Context, struct{}, *logrus.Entry) error { return kernel.ErrDrainDeadline },
--- a/internal/platform/httpkv/httpkv.go
+++ b/internal/platform/httpkv/httpkv.go
@@ -8,31 +8,27 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
+	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/observe"
 	"github.com/balsamlink/balsamlink/internal/platform"
+	"github.com/balsamlink/balsamlink/internal/platform/httpcall"
 	"github.com/balsamlink/balsamlink/internal/platform/kvproto"
 )
 
 // Name is the name of the plug-in.
 const Name = "httpkv"
 
-const (
-	retriesPerSecond = 2
-	retryBurst       = 8
-	maxIdleConns     = 4
-	maxConns         = 16
-	idleConnTimeout  = 30 * time.Second
-)
+// maxAttempts is how often a call is sent at most.
+const maxAttempts = 4
+
+// maxFaultText is how much of an error's text is kept, in bytes.
+const maxFaultText = 256
 
 func init() {
 	kernel.Register(kernel.Plugin{
@@ -45,33 +41,7 @@
 // client implements platform.Store and kernel.Module.
 type client struct {
 	settings Settings
-	http     *http.Client
-	// address counts the changes of address; it selects one of them.
-	address atomic.Uint32
-	budget  *rate.Limiter
-	retries *rate.Limiter
-	metrics metrics
-}
-
-// metrics counts the calls of the process.
-type metrics struct {
-	attempts    *observe.Counter
-	repeats     *observe.Counter
-	overBudget  *observe.Counter
-	unavailable *observe.Counter
-	unknown     *observe.Counter
-	rotations   *observe.Counter
-}
-
-func newMetrics(counters *observe.Counters) metrics {
-	return metrics{
-		attempts:    counters.Counter("platform_attempts", "Calls sent to the platform's service, repetitions included."),
-		repeats:     counters.Counter("platform_repeats", "Calls to the platform's service that were sent again."),
-		overBudget:  counters.Counter("platform_over_budget", "Calls left out since the process's budget of calls was used up."),
-		unavailable: counters.Counter("platform_unavailable", "Attempts that had no effect since the service refused or could not be reached."),
-		unknown:     counters.Counter("platform_unknown_outcome", "Attempts whose answer was missing or malformed."),
-		rotations:   counters.Counter("platform_address_changes", "Changes to another address of the platform's service."),
-	}
+	caller   *httpcall.Caller
 }
 
 // New returns a store that calls the service, for use without a kernel.
@@ -106,39 +76,34 @@
 
 // Stop implements kernel.Module.
 func (c *client) Stop() error {
-	if c.http != nil {
-		c.http.CloseIdleConnections()
+	if c.caller != nil {
+		c.caller.Close()
 	}
 	return nil
 }
 
 func (c *client) open(settings Settings, counters *observe.Counters) {
-	c.metrics = newMetrics(counters)
 	c.settings = settings
-	c.budget = rate.NewLimiter(rate.Limit(settings.CallsPerSecond), int(settings.CallBurst))
-	c.retries = rate.NewLimiter(retriesPerSecond, retryBurst)
-	dialer := &net.Dialer{Timeout: settings.timeout()}
-	c.http = &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdleConns,
-			MaxConnsPerHost:     maxConns,
-			IdleConnTimeout:     idleConnTimeout,
-			DisableCompression:  true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	c.caller = httpcall.New(httpcall.Settings{
+		Addresses:      settings.Addresses,
+		Header:         http.Header{kvproto.HeaderCaller: {settings.Caller}},
+		DialTimeout:    settings.timeout(),
+		MaxAttempts:    maxAttempts,
+		CallsPerSecond: settings.CallsPerSecond,
+		CallBurst:      int(settings.CallBurst),
+		StatusError:    statusError,
+	}, counters)
 }
 
 // Get implements platform.Store.
 func (c *client) Get(ctx context.Context, key string) (platform.Entry, error) {
 	var entry platform.Entry
-	err := c.do(ctx, call{
-		method:     http.MethodGet,
-		path:       kvproto.PathEntry,
-		query:      url.Values{kvproto.QueryKey: {key}},
-		repeatable: true,
-		timeout:    c.settings.timeout(),
+	err := c.caller.Do(ctx, httpcall.Call{
+		Method:     http.MethodGet,
+		Path:       kvproto.PathEntry,
+		Query:      url.Values{kvproto.QueryKey: {key}},
+		Repeatable: true,
+		Timeout:    c.settings.timeout(),
 	}, &entry)
 	return entry, err
 }
@@ -146,12 +111,12 @@
 // List implements platform.Store.
 func (c *client) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
 	var listing kvproto.Listing
-	err := c.do(ctx, call{
-		method:     http.MethodGet,
-		path:       kvproto.PathList,
-		query:      url.Values{kvproto.QueryPrefix: {prefix}},
-		repeatable: true,
-		timeout:    c.settings.timeout(),
+	err := c.caller.Do(ctx, httpcall.Call{
+		Method:     http.MethodGet,
+		Path:       kvproto.PathList,
+		Query:      url.Values{kvproto.QueryPrefix: {prefix}},
+		Repeatable: true,
+		Timeout:    c.settings.timeout(),
 	}, &listing)
 	return listing.Entries, err
 }
@@ -162,41 +127,41 @@
 		return 0, platform.Error.Wrap(platform.ErrTooLarge)
 	}
 	var written kvproto.Written
-	err := c.do(ctx, call{
-		method:  http.MethodPut,
-		path:    kvproto.PathEntry,
-		query:   url.Values{kvproto.QueryKey: {write.Key}},
-		header:  condition(write.Expect),
-		body:    kvproto.Write{Value: write.Value, Lease: write.Lease},
-		timeout: c.settings.timeout(),
+	err := c.caller.Do(ctx, httpcall.Call{
+		Method:  http.MethodPut,
+		Path:    kvproto.PathEntry,
+		Query:   url.Values{kvproto.QueryKey: {write.Key}},
+		Header:  condition(write.Expect),
+		Body:    kvproto.Write{Value: write.Value, Lease: write.Lease},
+		Timeout: c.settings.timeout(),
 	}, &written)
 	return written.Version, err
 }
 
 // Delete implements platform.Store.
 func (c *client) Delete(ctx context.Context, key string, expect platform.Version) error {
-	return c.do(ctx, call{
-		method:  http.MethodDelete,
-		path:    kvproto.PathEntry,
-		query:   url.Values{kvproto.QueryKey: {key}},
-		header:  condition(expect),
-		timeout: c.settings.timeout(),
+	return c.caller.Do(ctx, httpcall.Call{
+		Method:  http.MethodDelete,
+		Path:    kvproto.PathEntry,
+		Query:   url.Values{kvproto.QueryKey: {key}},
+		Header:  condition(expect),
+		Timeout: c.settings.timeout(),
 	}, nil)
 }
 
 // Watch implements platform.Store.
 func (c *client) Watch(ctx context.Context, prefix string, after platform.Version) (platform.Change, error) {
 	var change platform.Change
-	err := c.do(ctx, call{
-		method: http.MethodGet,
-		path:   kvproto.PathWatch,
-		query: url.Values{
+	err := c.caller.Do(ctx, httpcall.Call{
+		Method: http.MethodGet,
+		Path:   kvproto.PathWatch,
+		Query: url.Values{
 			kvproto.QueryPrefix: {prefix},
 			kvproto.QueryAfter:  {strconv.FormatUint(uint64(after), 10)},
 			kvproto.QueryWait:   {strconv.FormatUint(uint64(c.settings.WatchMillis), 10)},
 		},
-		repeatable: true,
-		timeout:    c.settings.watch() + c.settings.timeout(),
+		Repeatable: true,
+		Timeout:    c.settings.watch() + c.settings.timeout(),
 	}, &change)
 	return change, err
 }
@@ -204,32 +169,32 @@
 // Grant implements platform.Store. A lease whose answer was lost ends by itself.
 func (c *client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
 	var granted kvproto.Granted
-	err := c.do(ctx, call{
-		method:  http.MethodPost,
-		path:    kvproto.PathLeases,
-		body:    kvproto.Grant{TTLMillis: ttl.Milliseconds()},
-		timeout: c.settings.timeout(),
+	err := c.caller.Do(ctx, httpcall.Call{
+		Method:  http.MethodPost,
+		Path:    kvproto.PathLeases,
+		Body:    kvproto.Grant{TTLMillis: ttl.Milliseconds()},
+		Timeout: c.settings.timeout(),
 	}, &granted)
 	return granted.Lease, err
 }
 
 // KeepAlive implements platform.Store.
 func (c *client) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
-	return c.do(ctx, c.leaseCall(http.MethodPost, lease, true), nil)
+	return c.caller.Do(ctx, c.leaseCall(http.MethodPost, lease, true), nil)
 }
 
 // Revoke implements platform.Store.
 func (c *client) Revoke(ctx context.Context, lease platform.LeaseID) error {
-	return c.do(ctx, c.leaseCall(http.MethodDelete, lease, false), nil)
+	return c.caller.Do(ctx, c.leaseCall(http.MethodDelete, lease, false), nil)
 }
 
-func (c *client) leaseCall(method string, lease platform.LeaseID, repeatable bool) call {
-	return call{
-		method:     method,
-		path:       kvproto.PathLease,
-		query:      url.Values{kvproto.QueryLease: {strconv.FormatUint(uint64(lease), 10)}},
-		repeatable: repeatable,
-		timeout:    c.settings.timeout(),
+func (c *client) leaseCall(method string, lease platform.LeaseID, repeatable bool) httpcall.Call {
+	return httpcall.Call{
+		Method:     method,
+		Path:       kvproto.PathLease,
+		Query:      url.Values{kvproto.QueryLease: {strconv.FormatUint(uint64(lease), 10)}},
+		Repeatable: repeatable,
+		Timeout:    c.settings.timeout(),
 	}
 }
 
@@ -239,3 +204,25 @@
 	}
 	return http.Header{"If-Match": {kvproto.FormatETag(expect)}}
 }
+
+// statusError turns a status into an error. The service promises that a call
+// answered 429 or 503 had no effect; of other failures nothing is known.
+func statusError(status int, body []byte) error {
+	text := fmt.Sprintf("status %d: %.*s", status, maxFaultText, body)
+	switch status {
+	case http.StatusNotFound:
+		return platform.Error.Wrap(platform.ErrNotFound)
+	case http.StatusPreconditionFailed:
+		return platform.Error.Wrap(platform.ErrConflict)
+	case http.StatusGone:
+		return platform.Error.Wrap(platform.ErrLeaseExpired)
+	case http.StatusRequestEntityTooLarge:
+		return platform.Error.Wrap(platform.ErrTooLarge)
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return platform.Error.New("%w: %s", platform.ErrUnavailable, text)
+	case http.StatusBadRequest, http.StatusMethodNotAllowed:
+		return platform.Error.New("the service refused the call: %s", text)
+	default:
+		return platform.Error.New("%w: %s", platform.ErrUnknownOutcome, text)
+	}
+}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -32,7 +32,8 @@
 }
 
 // NewClient makes a client that presents and checks certificates as the TLS
-// configuration says.
+// configuration says. Without one it speaks plain TCP, for networks that only
+// the system's own machines reach.
 func NewClient(config *tls.Config) *Client {
 	return &Client{tls: config, conns: map[netip.AddrPort]*clientConn{}}
 }
@@ -146,8 +147,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := tls.Dialer{Config: config}
-	conn, err := dialer.DialContext(ctx, "tcp", c.addr.String())
+	conn, err := dial(ctx, config, c.addr)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -157,6 +157,13 @@
 	return nil
 }
 
+func dial(ctx context.Context, config *tls.Config, addr netip.AddrPort) (net.Conn, error) {
+	if config == nil {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr.String())
+	}
+	return (&tls.Dialer{Config: config}).DialContext(ctx, "tcp", addr.String())
+}
+
 func (c *clientConn) closeWhenDone(conn net.Conn) {
 	<-c.done
 	conn.Close()
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -19,9 +19,10 @@
 	writeTimeout      = 5 * time.Second
 )
 
-// Peer is the authenticated caller of a handler.
+// Peer is the caller of a handler.
 type Peer struct {
-	// Name is the common name of the peer's certificate.
+	// Name is the common name of the peer's certificate; it is empty where the
+	// server speaks plain TCP.
 	Name string
 	Addr net.Addr
 }
@@ -55,7 +56,7 @@
 }
 
 // NewServer makes a server that requires client certificates as the TLS
-// configuration says.
+// configuration says. Without one it speaks plain TCP and authenticates nobody.
 func NewServer(config *tls.Config, log *logrus.Entry) *Server {
 	return &Server{
 		log:      log,
@@ -133,21 +134,29 @@
 
 func (s *Server) serveConn(raw net.Conn) {
 	defer s.forget(raw)
-	conn := tls.Server(raw, s.tls)
-	raw.SetDeadline(time.Now().Add(writeTimeout))
-	if err := conn.Handshake(); err != nil {
+	conn, peer, err := s.handshake(raw)
+	if err != nil {
 		s.log.WithError(err).WithField("peer", raw.RemoteAddr()).Warn("rpc_peer_refused")
 		return
 	}
-	peer := Peer{
-		Name: conn.ConnectionState().PeerCertificates[0].Subject.CommonName,
-		Addr: raw.RemoteAddr(),
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.readCalls(ctx, conn, peer)
 }
 
+func (s *Server) handshake(raw net.Conn) (net.Conn, Peer, error) {
+	if s.tls == nil {
+		return raw, Peer{Addr: raw.RemoteAddr()}, nil
+	}
+	conn := tls.Server(raw, s.tls)
+	raw.SetDeadline(time.Now().Add(writeTimeout))
+	if err := conn.Handshake(); err != nil {
+		return nil, Peer{}, err
+	}
+	name := conn.ConnectionState().PeerCertificates[0].Subject.CommonName
+	return conn, Peer{Name: name, Addr: raw.RemoteAddr()}, nil
+}
+
 func (s *Server) readCalls(ctx context.Context, conn net.Conn, peer Peer) {
 	var (
 		writing sync.Mutex
