--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -29,7 +29,7 @@
 
 // module is the agent's own part of the process.
 type module struct {
-	node.Steps
+	kernel.Steps
 	settings settings.Agent
 	ring     *keys.Ring
 	// certificate is what callers of the service see.
--- a/internal/balancer/keeper.go
+++ b/internal/balancer/keeper.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/balsamlink/balsamlink/internal/keeper"
+	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/ledger"
 	"github.com/balsamlink/balsamlink/internal/membership"
 	"github.com/balsamlink/balsamlink/internal/model"
@@ -16,7 +17,7 @@
 
 // keeperModule keeps shards of the ledger of allowances.
 type keeperModule struct {
-	node.Steps
+	kernel.Steps
 	control *node.Control
 	keeper  *keeper.Keeper
 	started bool
--- a/internal/balancer/module.go
+++ b/internal/balancer/module.go
@@ -32,7 +32,7 @@
 
 // module is the balancer's own part of the process.
 type module struct {
-	node.Steps
+	kernel.Steps
 	settings settings.Balancer
 	ring     *keys.Ring
 	control  *node.Control
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -88,7 +88,9 @@
 	if err != nil {
 		return kernel.Usage(err)
 	}
-	log, err := observe.NewLog(os.Stderr, p.Level(loaded))
+	output := observe.NewOutput(os.Stdout)
+	defer output.Close()
+	log, err := observe.NewLog(output, p.Level(loaded))
 	if err != nil {
 		return kernel.Usage(err)
 	}
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -11,9 +11,9 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/balsamlink/balsamlink/internal/command"
-	"github.com/balsamlink/balsamlink/internal/settings"
 	"github.com/balsamlink/balsamlink/internal/devcerts"
 	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/settings"
 )
 
 func TestExitCodes(t *testing.T) {
--- /dev/null
+++ b/internal/door/door.go
@@ -0,0 +1,320 @@
+// Package door decides at an agent what reaches the target beside it. The agent
+// is the only way to its target, so that its counts are exact: which
+// incarnation of the target runs, which flows it holds, whether it takes new
+// ones, and how many it bears while it is cold. It is pure: events and the time
+// go in, decisions come out.
+package door
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/balsamlink/balsamlink/internal/flow"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/routing"
+)
+
+// Error is the class of all errors of this layer.
+var Error = errs.Class("door")
+
+// The errors of Announce and Depart, wrapped in Error.
+var (
+	// ErrForeign tells that the caller is not the target beside this agent.
+	ErrForeign = errs.New("not the target of this agent")
+	// ErrStale tells that a newer incarnation or heartbeat is known.
+	ErrStale = errs.New("older than what is known")
+)
+
+// Announcement is one heartbeat of a target.
+type Announcement struct {
+	ID string
+	// Born is the start of the target's incarnation, in Unix milliseconds.
+	Born int64
+	// Sequence rises with each heartbeat of one incarnation.
+	Sequence uint64
+	Service  model.Service
+	Address  netip.AddrPort
+	Zone     model.Zone
+	// Slots is the number of requests that the target runs at once.
+	Slots    int
+	Draining bool
+	// WarmUpLeft is how much longer the target is cold.
+	WarmUpLeft time.Duration
+}
+
+// Departure is the last word of a target before it ends.
+type Departure struct {
+	ID string
+	// Born is the start of the target's incarnation in Unix milliseconds, or 0
+	// where the target did not say.
+	Born int64
+}
+
+// Reason tells why a new flow was refused.
+type Reason uint8
+
+// The reasons.
+const (
+	ReasonNone Reason = iota
+	// ReasonNoState tells that the operators' state is not known yet.
+	ReasonNoState
+	// ReasonNoRoute tells that no route leads to the address.
+	ReasonNoRoute
+	// ReasonOtherService tells that the route leads to other services only.
+	ReasonOtherService
+	// ReasonZoneOut tells that the availability zone is out of service.
+	ReasonZoneOut
+	// ReasonNoTarget tells that the target has not announced itself.
+	ReasonNoTarget
+	// ReasonLeaving tells that the target is draining or gone.
+	ReasonLeaving
+	// ReasonCold tells that the target is cold and has its share.
+	ReasonCold
+	// ReasonFull tells that the target returned the packet or holds all the
+	// flows that it can.
+	ReasonFull
+	// ReasonUnknownFlow tells that the target does not hold the flow.
+	ReasonUnknownFlow
+	reasonCount
+)
+
+// ReasonCount is the number of reasons.
+const ReasonCount = int(reasonCount)
+
+var reasonNames = [...]string{"none", "no_state", "no_route", "other_service", "zone_out", "no_target", "leaving",
+	"cold", "full", "unknown_flow"}
+
+// String returns the name of the reason that logs and metrics use.
+func (r Reason) String() string {
+	if int(r) >= len(reasonNames) {
+		return "invalid"
+	}
+	return reasonNames[r]
+}
+
+const (
+	// coldWindow is the span over which a cold target's new flows are counted. It
+	// exceeds the second that the limit speaks of, since packets may reach the
+	// target closer together than they left.
+	coldWindow = 1100 * time.Millisecond
+	// coldReserve is the number of new flows that is kept back from the bound.
+	coldReserve = 1
+	// closedLinger is how long a closed flow is remembered for its last packets.
+	closedLinger = 2 * time.Second
+	// openTimeout is how long a flow may take to open. A client gives up after
+	// 1.4 s.
+	openTimeout = 2 * time.Second
+	// missedHeartbeats is how many heartbeats a target may miss before it gets no
+	// new flows. The users take a target as gone two seconds after it is due.
+	missedHeartbeats = 3
+)
+
+// Config describes the target of a door.
+type Config struct {
+	Service model.Service
+	Zone    model.Zone
+	Address netip.AddrPort
+	// Heartbeat is the time between two heartbeats of a target.
+	Heartbeat time.Duration
+	// ColdFactor and ColdSlack bound the new flows a second of a cold target: its
+	// stated rate times the factor, plus the slack.
+	ColdFactor float64
+	ColdSlack  float64
+	// MaxFlows bounds the table of flows.
+	MaxFlows int
+}
+
+// Door is the state of one agent's door. It is not safe for concurrent use.
+type Door struct {
+	config  Config
+	started model.Instant
+	target  Target
+	heard   model.Instant
+	// opened holds the times of new flows within the last cold window.
+	opened []model.Instant
+	flows  map[flow.Key]*entry
+	busy   int
+	// complete tells that every flow that the target holds is in the table.
+	complete bool
+}
+
+// Target is what is known of the target.
+type Target struct {
+	// Known tells that the target has announced itself or passed a probe.
+	Known    bool
+	ID       string
+	Born     int64
+	Sequence uint64
+	Slots    int
+	Draining bool
+	// Gone tells that the target has ended.
+	Gone      bool
+	ColdUntil model.Instant
+}
+
+// New makes a door of a target of which nothing is known.
+func New(config Config, now model.Instant) *Door {
+	return &Door{config: config, started: now, flows: map[flow.Key]*entry{}}
+}
+
+// Target returns what is known of the target.
+func (d *Door) Target() Target { return d.target }
+
+// Cold reports whether the target is cold.
+func (d *Door) Cold(now model.Instant) bool { return now < d.target.ColdUntil }
+
+// Announce takes a heartbeat. It reports whether a new incarnation has begun,
+// which knows none of the flows before.
+func (d *Door) Announce(now model.Instant, a Announcement) (restarted bool, err error) {
+	if a.Service != d.config.Service || a.Address != d.config.Address {
+		return false, Error.New("%w: %s at %s", ErrForeign, a.Service, a.Address)
+	}
+	if a.Born < d.target.Born || (a.Born == d.target.Born && a.Sequence <= d.target.Sequence) {
+		return false, Error.New("%w: incarnation %d, heartbeat %d", ErrStale, a.Born, a.Sequence)
+	}
+	if a.Born == d.target.Born && d.target.Gone {
+		return false, Error.New("%w: the incarnation has departed", ErrStale)
+	}
+	restarted = d.target.Born != 0 && a.Born > d.target.Born
+	if restarted {
+		d.complete = true
+	}
+	if d.target.Born == 0 {
+		d.adoptFlows(a.Born)
+	}
+	d.heard = now
+	d.target = Target{
+		Known: true, ID: a.ID, Born: a.Born, Sequence: a.Sequence, Slots: a.Slots, Draining: a.Draining,
+		ColdUntil: now.Add(a.WarmUpLeft),
+	}
+	return restarted, nil
+}
+
+// adoptFlows takes the flows that were seen before the first heartbeat as those
+// of the incarnation that sent it.
+func (d *Door) adoptFlows(born int64) {
+	for _, known := range d.flows {
+		known.born = born
+	}
+}
+
+// Depart takes the target's last word.
+func (d *Door) Depart(departure Departure) error {
+	if departure.ID != d.target.ID || (departure.Born != 0 && departure.Born != d.target.Born) {
+		return Error.New("%w: %s", ErrStale, departure.ID)
+	}
+	d.target.Draining, d.target.Gone = true, true
+	return nil
+}
+
+// Probed takes the result of a health probe of a target that has not announced
+// itself yet. Until it does it counts as cold.
+func (d *Door) Probed(now model.Instant, id string, healthy bool) {
+	if d.target.Known || !healthy {
+		return
+	}
+	d.heard = now
+	d.target = Target{Known: true, ID: id, ColdUntil: now.Add(missedHeartbeats * d.config.Heartbeat)}
+}
+
+// Lost tells that the target has ended without a word: nobody listens at its
+// address. It reports whether that is news.
+func (d *Door) Lost() bool {
+	news := d.target.Known && !d.target.Gone
+	d.target.Gone = true
+	d.complete = true
+	return news || len(d.flows) > 0
+}
+
+// Silent returns how long the target has said nothing.
+func (d *Door) Silent(now model.Instant) time.Duration { return now.Sub(d.heard) }
+
+// Ready reports whether the target takes new flows.
+func (d *Door) Ready(now model.Instant) bool { return d.refusal(now) == ReasonNone }
+
+func (d *Door) refusal(now model.Instant) Reason {
+	switch {
+	case !d.target.Known:
+		return ReasonNoTarget
+	case d.target.Draining || d.target.Gone:
+		return ReasonLeaving
+	case d.Silent(now) > missedHeartbeats*d.config.Heartbeat:
+		return ReasonNoTarget
+	default:
+		return ReasonNone
+	}
+}
+
+// Open decides whether a new flow may reach the target, under the operators'
+// state that the agent knows. A copy of an opening packet that was let in goes
+// the same way.
+func (d *Door) Open(now model.Instant, state *routing.State, key flow.Key, balancer netip.Addr) Reason {
+	if reason := d.permit(state, key); reason != ReasonNone {
+		return reason
+	}
+	if reason := d.refusal(now); reason != ReasonNone {
+		return reason
+	}
+	if known := d.flows[key]; known != nil {
+		known.balancer, known.lastIn = balancer, now
+		return ReasonNone
+	}
+	service := state.Config.Services[d.config.Service]
+	if len(d.flows) >= d.config.MaxFlows || (service != nil && service.MaxFlows > 0 && len(d.flows) >= service.MaxFlows) {
+		return ReasonFull
+	}
+	if d.Cold(now) && !d.coldRoom(now, service) {
+		return ReasonCold
+	}
+	d.noteOpened(now)
+	d.flows[key] = &entry{balancer: balancer, lastIn: now, born: d.target.Born}
+	return ReasonNone
+}
+
+// permit checks a new flow against what the operators have declared.
+func (d *Door) permit(state *routing.State, key flow.Key) Reason {
+	if state == nil || state.Config == nil {
+		return ReasonNoState
+	}
+	route := state.Config.Routes[key.Service]
+	switch {
+	case route == nil:
+		return ReasonNoRoute
+	case !route.Allows(d.config.Service):
+		return ReasonOtherService
+	case state.Out[d.config.Zone]:
+		return ReasonZoneOut
+	default:
+		return ReasonNone
+	}
+}
+
+// coldLimit returns the number of new flows that a cold target gets within the
+// cold window.
+func (d *Door) coldLimit(service *routing.Service) int {
+	rate := 0.0
+	if service != nil {
+		rate = service.WarmUpRate
+	}
+	return max(1, int(rate*d.config.ColdFactor+d.config.ColdSlack)-coldReserve)
+}
+
+func (d *Door) coldRoom(now model.Instant, service *routing.Service) bool {
+	d.trimOpened(now)
+	return len(d.opened) < d.coldLimit(service)
+}
+
+func (d *Door) noteOpened(now model.Instant) {
+	d.trimOpened(now)
+	d.opened = append(d.opened, now)
+}
+
+func (d *Door) trimOpened(now model.Instant) {
+	first := 0
+	for first < len(d.opened) && now.Sub(d.opened[first]) >= coldWindow {
+		first++
+	}
+	d.opened = d.opened[first:]
+}
--- /dev/null
+++ b/internal/door/flows.go
@@ -0,0 +1,194 @@
+package door
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/flow"
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// entry is one flow of the target.
+type entry struct {
+	// balancer last forwarded a packet of the flow.
+	balancer netip.Addr
+	// born is the incarnation of the target that holds the flow; 0 is unknown.
+	born int64
+	// open tells that the target has sent packets of the flow beyond its consent.
+	open bool
+	// clientAck is the client's last acknowledgement number.
+	clientAck uint32
+	lastIn    model.Instant
+	lastOut   model.Instant
+	// busy tells that the target owes the client an answer.
+	busy          bool
+	endedByClient bool
+	endedByTarget bool
+	// told tells that the balancers were told of the flow.
+	told bool
+}
+
+// Delivery tells what becomes of a packet of a flow.
+type Delivery uint8
+
+// The deliveries.
+const (
+	// Deliver hands the packet to the target.
+	Deliver Delivery = iota
+	// Probe hands the packet to the target, which may hold the flow or not.
+	Probe
+	// NotHere returns the packet: the target does not hold the flow.
+	NotHere
+	// Dead resets the flow: the incarnation of the target that held it has ended.
+	Dead
+)
+
+// Packet decides on a client's packet that does not open a flow. A search is a
+// packet of which the balancer does not know the agent.
+func (d *Door) Packet(now model.Instant, p flow.Packet, balancer netip.Addr, search bool) Delivery {
+	known := d.flows[p.FromClient()]
+	if known == nil {
+		switch {
+		case d.target.Gone:
+			return NotHere
+		case search && d.complete:
+			return NotHere
+		default:
+			return Probe
+		}
+	}
+	if d.target.Gone || (known.born != 0 && known.born != d.target.Born) {
+		return Dead
+	}
+	known.balancer, known.lastIn = balancer, now
+	known.clientAck = p.Acknowledged
+	if p.Flags.Has(flow.End) {
+		known.endedByClient = true
+	}
+	if p.Length > 0 && !known.busy {
+		known.busy = true
+		d.busy++
+	}
+	if p.Flags.Has(flow.Reset) {
+		d.remove(p.FromClient(), known)
+	}
+	return Deliver
+}
+
+// settle notes when the agent has run for longer than a flow may rest: it has
+// then seen a packet of every flow that the target holds.
+func (d *Door) settle(now model.Instant, idle time.Duration) {
+	if idle > 0 && now.Sub(d.started) > idle {
+		d.complete = true
+	}
+}
+
+// Sent takes note of a packet that the target sent to a client. It reports
+// whether the balancers should be told that the flow is here.
+func (d *Door) Sent(now model.Instant, p flow.Packet) (tell bool) {
+	key := p.ToClient()
+	known := d.flows[key]
+	if known == nil {
+		if p.Flags.Has(flow.Reset) || len(d.flows) >= d.config.MaxFlows {
+			return false
+		}
+		known = &entry{born: d.target.Born, lastIn: now}
+		d.flows[key] = known
+	}
+	known.lastOut = now
+	if p.Flags.Has(flow.Reset) {
+		d.remove(key, known)
+		return false
+	}
+	if p.Length > 0 && known.busy {
+		known.busy = false
+		d.busy--
+	}
+	if p.Flags.Has(flow.End) {
+		known.endedByTarget = true
+	}
+	known.open = known.open || !p.Flags.Has(flow.Open)
+	tell = known.open && !known.told
+	known.told = known.told || known.open
+	return tell
+}
+
+// Returned takes note that the target returned a packet of a flow.
+func (d *Door) Returned(key flow.Key) {
+	if known := d.flows[key]; known != nil {
+		d.remove(key, known)
+	}
+}
+
+// Balancer returns the balancer that last forwarded a packet of the flow, or the
+// zero address.
+func (d *Door) Balancer(key flow.Key) netip.Addr {
+	if known := d.flows[key]; known != nil {
+		return known.balancer
+	}
+	return netip.Addr{}
+}
+
+// Loss is a flow that has ended with its target.
+type Loss struct {
+	Key flow.Key
+	// Sequence is a sequence number that the client takes for a reset's.
+	Sequence uint32
+}
+
+// Losses removes the flows whose incarnation of the target has ended, and returns
+// those that the target had not closed itself.
+func (d *Door) Losses() []Loss {
+	var losses []Loss
+	for key, known := range d.flows {
+		if d.target.Gone || (known.born != 0 && known.born != d.target.Born) {
+			if !known.endedByTarget {
+				losses = append(losses, Loss{Key: key, Sequence: known.clientAck})
+			}
+			d.remove(key, known)
+		}
+	}
+	return losses
+}
+
+// Each calls visit for each flow that balancers should know.
+func (d *Door) Each(visit func(key flow.Key, balancer netip.Addr)) {
+	for key, known := range d.flows {
+		if known.open {
+			visit(key, known.balancer)
+		}
+	}
+}
+
+// Expire removes the flows that have ended or rested for too long. It is called
+// about every second.
+func (d *Door) Expire(now model.Instant, idle time.Duration) {
+	d.settle(now, idle)
+	for key, known := range d.flows {
+		last := max(known.lastIn, known.lastOut)
+		quiet := now.Sub(last)
+		switch {
+		case known.endedByClient && known.endedByTarget && quiet > closedLinger,
+			!known.open && quiet > openTimeout,
+			idle > 0 && quiet > idle+closedLinger:
+			d.remove(key, known)
+		}
+	}
+}
+
+// Load is what an agent reports of its target.
+type Load struct {
+	Flows int
+	// Busy is the number of flows on which the target owes an answer.
+	Busy int
+}
+
+// Load returns the present load.
+func (d *Door) Load() Load { return Load{Flows: len(d.flows), Busy: d.busy} }
+
+func (d *Door) remove(key flow.Key, known *entry) {
+	if known.busy {
+		d.busy--
+	}
+	delete(d.flows, key)
+}
--- /dev/null
+++ b/internal/flowsteer/place.go
@@ -0,0 +1,92 @@
+package flowsteer
+
+import (
+	"net/netip"
+
+	"github.com/balsamlink/balsamlink/internal/flow"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/routing"
+)
+
+const (
+	// busyWeight is how much a flow on which an answer is owed counts against one
+	// that rests: it holds a slot now.
+	busyWeight = 4
+	// otherZoneFactor is how much more loaded an agent of the own zone may be
+	// before a flow goes to another zone, whose bytes are paid for.
+	otherZoneFactor = 1.25
+	// otherZoneBase is added for another zone, in flows per slot.
+	otherZoneBase = 0.5
+	// coldPenalty keeps new flows away from cold targets while warm ones have
+	// free slots, in flows per slot.
+	coldPenalty = 8
+	// sampleSize bounds how many agents are compared for one flow.
+	sampleSize = 24
+	// assumedSlots stands in for the slots of a target that has not told them.
+	assumedSlots = 4
+)
+
+// place returns the agent that a new flow is best served at, leaving out those
+// that have refused it.
+func (t *Table) place(now model.Instant, route *routing.Route, key flow.Key, tried []netip.Addr) *Agent {
+	hash := key.Hash()
+	chosen := route.Pick(hash)
+	if agent := t.placeAt(now, chosen, hash, tried); agent != nil {
+		return agent
+	}
+	for _, choice := range route.Choices {
+		if choice.Service == chosen || choice.Weight == 0 {
+			continue
+		}
+		if agent := t.placeAt(now, choice.Service, hash, tried); agent != nil {
+			return agent
+		}
+	}
+	return nil
+}
+
+func (t *Table) placeAt(now model.Instant, service model.Service, hash uint64, tried []netip.Addr) *Agent {
+	agents := t.view.ByService[service]
+	if len(agents) == 0 {
+		return nil
+	}
+	var best *Agent
+	var lowest float64
+	first := int(hash>>32) % len(agents)
+	for i := range min(len(agents), sampleSize) {
+		agent := agents[(first+i)%len(agents)]
+		if !agent.takes(now, t.view.State) || contains(tried, agent.VM) {
+			continue
+		}
+		if cost := t.cost(agent); best == nil || cost < lowest {
+			best, lowest = agent, cost
+		}
+	}
+	return best
+}
+
+// cost is the expected load of an agent's target with one more flow, in flows
+// per slot.
+func (t *Table) cost(agent *Agent) float64 {
+	slots := agent.Slots
+	if slots == 0 {
+		slots = assumedSlots
+	}
+	cost := float64(agent.Flows+t.placed[agent.VM]+busyWeight*agent.Busy+1) / float64(slots)
+	if agent.Cold {
+		cost += coldPenalty
+	}
+	if agent.Zone != t.view.Zone {
+		cost = cost*otherZoneFactor + otherZoneBase
+	}
+	return cost
+}
+
+func contains(addresses []netip.Addr, address netip.Addr) bool {
+	for _, other := range addresses {
+		if other == address {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -26,6 +26,7 @@
 	EdgeFabric     Edge = "fabric"
 	EdgeTarget     Edge = "target"
 	EdgeCredential Edge = "credential"
+	EdgeUnderlay   Edge = "underlay"
 )
 
 // Module is one fitted plug-in. The kernel calls the methods in the order in
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/balsamlink/balsamlink/internal/cluster"
+	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/keys"
 	"github.com/balsamlink/balsamlink/internal/membership"
 	"github.com/balsamlink/balsamlink/internal/model"
@@ -19,7 +20,7 @@
 
 // Control is the module that keeps the node in touch with the others.
 type Control struct {
-	Steps
+	kernel.Steps
 	Cluster *cluster.Node
 	Client  *rpc.Client
 	Server  *rpc.Server
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/observe"
 )
 
@@ -24,7 +25,7 @@
 
 // Operators is the module that serves metrics and health pages.
 type Operators struct {
-	Steps
+	kernel.Steps
 	Addr     netip.AddrPort
 	Counters *observe.Counters
 	Health   *observe.Health
--- a/internal/node/secrets.go
+++ b/internal/node/secrets.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/keys"
 	"github.com/balsamlink/balsamlink/internal/observe"
 )
@@ -16,7 +17,7 @@
 // Secrets is the module that loads certificates and keys anew when their files
 // change.
 type Secrets struct {
-	Steps
+	kernel.Steps
 	watcher *keys.Watcher
 	cancel  context.CancelFunc
 	running sync.WaitGroup
--- /dev/null
+++ b/internal/observe/histogram.go
@@ -0,0 +1,69 @@
+package observe
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// KindHistogram metrics show how often values of each size came.
+const KindHistogram Kind = "histogram"
+
+const (
+	// histogramMax is the largest duration that a histogram tells apart.
+	histogramMax = time.Minute
+	// histogramDigits is the number of digits that a histogram keeps.
+	histogramDigits = 2
+)
+
+// Histogram is a distribution of durations, in microseconds. All methods are
+// safe for concurrent use.
+type Histogram struct {
+	mu     sync.Mutex
+	values *hdrhistogram.Histogram
+}
+
+// Observe adds one duration.
+func (h *Histogram) Observe(duration time.Duration) {
+	value := min(max(duration, 0), histogramMax).Microseconds()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	// Values within the bounds are always taken.
+	_ = h.values.RecordValue(value)
+}
+
+// histogramPage is what the metrics page shows of a histogram.
+type histogramPage struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50_us"`
+	P90   int64 `json:"p90_us"`
+	P99   int64 `json:"p99_us"`
+	Max   int64 `json:"max_us"`
+}
+
+// String implements expvar.Var.
+func (h *Histogram) String() string {
+	h.mu.Lock()
+	page := histogramPage{
+		Count: h.values.TotalCount(),
+		P50:   h.values.ValueAtQuantile(50),
+		P90:   h.values.ValueAtQuantile(90),
+		P99:   h.values.ValueAtQuantile(99),
+		Max:   h.values.Max(),
+	}
+	h.mu.Unlock()
+	text, err := json.Marshal(page)
+	if err != nil {
+		return "{}"
+	}
+	return string(text)
+}
+
+// Histogram adds a distribution of durations. It panics when the name is taken.
+func (c *Counters) Histogram(name, help string) *Histogram {
+	histogram := &Histogram{values: hdrhistogram.New(1, histogramMax.Microseconds(), histogramDigits)}
+	c.add(Metric{Name: name, Kind: KindHistogram, Help: help}, histogram)
+	return histogram
+}
--- /dev/null
+++ b/internal/packetagent/agent.go
@@ -0,0 +1,266 @@
+// Package packetagent is the process beside each target of the packet path. It
+// hands clients' packets to the target and the target's to the clients, decides
+// what reaches the target, and tells the balancers which flows are here.
+package packetagent
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+
+	"github.com/balsamlink/balsamlink/internal/door"
+	"github.com/balsamlink/balsamlink/internal/flow"
+	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/observe"
+	"github.com/balsamlink/balsamlink/internal/packetnode"
+	"github.com/balsamlink/balsamlink/internal/platform"
+	"github.com/balsamlink/balsamlink/internal/routing"
+)
+
+// Error is the class of all errors of this layer.
+var Error = errs.Class("packetagent")
+
+const (
+	// maxFlows bounds the table of flows. Targets hold about 2,000.
+	maxFlows = 16384
+	// goodbyes is how often an agent tells that it ends; a datagram may be lost.
+	goodbyes = 2
+	// goodbyePause is the time after each of them.
+	goodbyePause = 5 * time.Millisecond
+	// expireInterval is the time between two looks for flows that have ended.
+	expireInterval = time.Second
+	// refusalLogRate and the others are budgets of log lines a second, each kind of
+	// line with its own.
+	logRate  = 20
+	logBurst = 100
+)
+
+// Run runs an agent until it is told to end.
+func Run(ctx context.Context, settings packetnode.Settings, log *logrus.Entry) error {
+	base, part, err := assemble(settings, log)
+	if err != nil {
+		return err
+	}
+	return base.Run(ctx, part)
+}
+
+// Check checks settings without opening anything.
+func Check(settings packetnode.Settings, log *logrus.Entry) error {
+	base, part, err := assemble(settings, log)
+	if err != nil {
+		return err
+	}
+	return base.Check(part)
+}
+
+func assemble(settings packetnode.Settings, log *logrus.Entry) (*packetnode.Base, kernel.Part, error) {
+	if settings.Target == nil {
+		return nil, kernel.Part{}, kernel.Usage(Error.New("target: missing; allowed: the target beside the agent"))
+	}
+	base, err := packetnode.NewBase(settings, log)
+	if err != nil {
+		return nil, kernel.Part{}, err
+	}
+	return base, kernel.Part{Name: "agent", Module: &agent{base: base, settings: settings, log: log}}, nil
+}
+
+// agent is the agent's own part of the process.
+type agent struct {
+	kernel.Steps
+	base     *packetnode.Base
+	settings packetnode.Settings
+	log      *logrus.Entry
+	codec    flow.Codec
+	node     *packetnode.Node
+	outbound *net.UDPConn
+	pages    []*packetnode.Page
+	metrics  *metrics
+	running  sync.WaitGroup
+
+	// view is what the control goroutine last published.
+	view    atomic.Pointer[view]
+	watch   targetWatch
+	expired model.Instant
+
+	mu      sync.Mutex
+	door    *door.Door
+	pending pending
+	claims  claims
+}
+
+// view is what traffic needs of the control state. It is immutable.
+type view struct {
+	state     *routing.State
+	asOf      platform.Version
+	proven    model.Instant
+	balancers []packetnode.Peer
+}
+
+// Start implements kernel.Module.
+func (a *agent) Start(ctx context.Context) error {
+	target := a.settings.Target
+	a.codec = a.base.Underlay.Codec()
+	a.metrics = newMetrics(a.base.Counters, a.log)
+	a.view.Store(&view{})
+	a.pending = newPending()
+	a.claims = claims{}
+	a.door = door.New(door.Config{
+		Service: target.Service, Zone: a.settings.Zone, Address: target.Address, Heartbeat: target.Heartbeat(),
+		ColdFactor: target.ColdFactor, ColdSlack: target.ColdSlack, MaxFlows: maxFlows,
+	}, model.Now())
+	outbound, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(target.Outbound))
+	if err != nil {
+		return Error.New("packets of the target at %s: %v", target.Outbound, err)
+	}
+	a.outbound = outbound
+	a.node = packetnode.New(packetnode.Config{
+		Settings: a.settings, Role: model.RoleAgent, Service: target.Service, Underlay: a.base.Underlay,
+		Counters: a.base.Counters, Log: a.log, Load: a.load, Changed: a.changed,
+		Handlers: map[packetnode.Kind]packetnode.Handler{packetnode.KindForward: a.takeForward},
+	})
+	a.node.SetState(packetnode.StateClosed)
+	if err := a.node.Start(ctx); err != nil {
+		return err
+	}
+	a.running.Go(a.readOutbound)
+	return a.servePages()
+}
+
+func (a *agent) servePages() error {
+	registration, err := packetnode.Serve(a.settings.Target.Registration, a.base.Underlay.Registration(a), a.log)
+	if err != nil {
+		return err
+	}
+	a.pages = append(a.pages, registration)
+	probe, err := packetnode.Serve(a.settings.Readiness, a.base.Underlay.Readiness(a.ready), a.log)
+	if err != nil {
+		return err
+	}
+	a.pages = append(a.pages, probe)
+	operators, err := packetnode.Serve(a.settings.Metrics, observe.Handler(a.base.Counters, observe.NewHealth()), a.log)
+	if err != nil {
+		return err
+	}
+	a.pages = append(a.pages, operators)
+	return nil
+}
+
+// Drain implements kernel.Module: the balancers are told whether the target lives
+// on. Nothing is waited for, since the target's flows stand still meanwhile.
+func (a *agent) Drain(context.Context) error {
+	a.mu.Lock()
+	target := a.door.Target()
+	a.mu.Unlock()
+	state := packetnode.StateRestarting
+	if target.Gone || target.Draining {
+		state = packetnode.StateGone
+	}
+	a.log.WithFields(logrus.Fields{"state": state, "target": target.ID, "draining": target.Draining}).Info("agent_leaving")
+	if target.Gone {
+		a.giveUp("target_departed")
+	}
+	for range goodbyes {
+		a.node.SetState(state)
+		time.Sleep(goodbyePause)
+	}
+	return nil
+}
+
+// Stop implements kernel.Module.
+func (a *agent) Stop() error {
+	var faults errs.Group
+	for _, page := range a.pages {
+		faults.Add(page.Close())
+	}
+	if a.node != nil {
+		faults.Add(a.node.Stop())
+	}
+	if a.outbound != nil {
+		faults.Add(a.outbound.Close())
+	}
+	a.running.Wait()
+	return Error.Wrap(faults.Err())
+}
+
+func (a *agent) ready() bool { return a.view.Load().state != nil }
+
+// load tells the node what to report. It runs on the control goroutine.
+func (a *agent) load(now model.Instant) (packetnode.State, packetnode.Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	state := packetnode.StateClosed
+	if a.door.Ready(now) {
+		state = packetnode.StateOpen
+	}
+	load := a.door.Load()
+	return state, packetnode.Load{
+		Slots: uint32(a.door.Target().Slots), Flows: uint32(load.Flows), Busy: uint32(load.Busy), Cold: a.door.Cold(now),
+	}
+}
+
+// changed takes what the control goroutine knows.
+func (a *agent) changed(now model.Instant, update packetnode.Update) {
+	a.publish(now, update)
+	for _, vm := range update.Joined {
+		if node := update.Roster.Node(vm); node != nil && node.Peer.Role == model.RoleBalancer {
+			a.introduce(node.Peer)
+		}
+	}
+	a.flushClaims()
+	a.watch.tick(a, now)
+	if now.Sub(a.expired) >= expireInterval {
+		a.expired = now
+		a.mu.Lock()
+		a.door.Expire(now, idleTimeout(a.view.Load().state))
+		a.mu.Unlock()
+	}
+}
+
+func idleTimeout(state *routing.State) time.Duration {
+	if state == nil || state.Config == nil {
+		return 0
+	}
+	return state.Config.IdleTimeout
+}
+
+func (a *agent) publish(now model.Instant, update packetnode.Update) {
+	state, proven := update.Knowledge.State()
+	next := &view{state: state, asOf: update.Knowledge.Document().AsOf, proven: proven}
+	for _, node := range update.Roster.Nodes() {
+		if node.Peer.Role == model.RoleBalancer && node.Live(now) {
+			next.balancers = append(next.balancers, node.Peer)
+		}
+	}
+	a.view.Store(next)
+}
+
+// reset tells a flow's client that the flow is given up.
+func (a *agent) reset(key flow.Key, sequence uint32, why string) {
+	a.metrics.resets.Inc()
+	a.metrics.resetLog.Info("flow_reset", logrus.Fields{"flow": key, "reason": why, "sequence": sequence})
+	a.sendToClient(key.Client, a.codec.AppendReset(nil, key, sequence))
+}
+
+func (a *agent) sendToClient(client flow.Endpoint, packet []byte) {
+	address := netip.AddrPortFrom(netip.AddrFrom4(client.IP), a.settings.Packets.Port())
+	if _, err := a.outbound.WriteToUDPAddrPort(packet, address); err != nil {
+		a.metrics.sendFailed.Inc()
+	}
+}
+
+// giveUp resets the flows whose target has ended.
+func (a *agent) giveUp(why string) {
+	a.mu.Lock()
+	losses := a.door.Losses()
+	a.mu.Unlock()
+	for _, loss := range losses {
+		a.reset(loss.Key, loss.Sequence, why)
+	}
+}
--- /dev/null
+++ b/internal/packetagent/traffic.go
@@ -0,0 +1,198 @@
+package packetagent
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/balsamlink/balsamlink/internal/door"
+	"github.com/balsamlink/balsamlink/internal/flow"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/packetnode"
+)
+
+// pendingSize is how many packets at the target are remembered. A target returns
+// a packet within a few milliseconds.
+const pendingSize = 4096
+
+// delivery is a packet that was handed to the target.
+type delivery struct {
+	tag      uint32
+	balancer netip.Addr
+	key      flow.Key
+}
+
+// pending remembers the last packets that were handed to the target, by the tag
+// that comes back with those that it returns.
+type pending struct {
+	next uint32
+	ring []delivery
+}
+
+func newPending() pending { return pending{ring: make([]delivery, pendingSize)} }
+
+func (p *pending) add(balancer netip.Addr, key flow.Key) uint32 {
+	p.next++
+	p.ring[p.next%pendingSize] = delivery{tag: p.next, balancer: balancer, key: key}
+	return p.next
+}
+
+// take returns the delivery of a tag, once.
+func (p *pending) take(tag uint32, key flow.Key) (delivery, bool) {
+	slot := &p.ring[tag%pendingSize]
+	if slot.tag != tag || slot.key != key || !slot.balancer.IsValid() {
+		return delivery{}, false
+	}
+	found := *slot
+	*slot = delivery{}
+	return found, true
+}
+
+// takeForward takes a client's packet from a balancer.
+func (a *agent) takeForward(from netip.Addr, datagram []byte) {
+	forward, err := packetnode.ParseForward(datagram)
+	if err != nil {
+		a.metrics.malformed.Inc()
+		return
+	}
+	p, err := a.codec.Parse(forward.Packet)
+	if err != nil {
+		a.metrics.malformed.Inc()
+		return
+	}
+	a.node.Want(uint64(forward.AsOf))
+	if p.Opening() {
+		a.open(from, p, forward)
+		return
+	}
+	a.carry(from, p, forward)
+}
+
+func (a *agent) open(from netip.Addr, p flow.Packet, forward packetnode.Forward) {
+	view := a.view.Load()
+	key := p.FromClient()
+	now := model.Now()
+	a.mu.Lock()
+	reason := a.door.Open(now, view.state, key, from)
+	if reason == door.ReasonNone {
+		a.deliver(from, key, forward.Packet)
+	}
+	a.mu.Unlock()
+	if reason == door.ReasonNone {
+		a.metrics.opened.Inc()
+		return
+	}
+	a.refuse(from, key, forward.Packet, reason, view)
+}
+
+// refuse returns a packet to its balancer.
+func (a *agent) refuse(to netip.Addr, key flow.Key, packet []byte, reason door.Reason, view *view) {
+	a.metrics.refused[reason].Inc()
+	if reason != door.ReasonUnknownFlow {
+		a.metrics.refusalLog.Info("flow_refused", logrus.Fields{
+			"flow": key, "reason": reason, "balancer": to, "as_of": view.asOf,
+			"state_age_ms": model.Now().Sub(view.proven).Milliseconds(),
+		})
+	}
+	buffer := make([]byte, 0, len(packet)+16)
+	a.node.Send(to, packetnode.AppendReturn(buffer, packetnode.Return{Reason: reason, AsOf: view.asOf, Packet: packet}))
+}
+
+// carry decides on a packet that does not open a flow.
+func (a *agent) carry(from netip.Addr, p flow.Packet, forward packetnode.Forward) {
+	key := p.FromClient()
+	a.mu.Lock()
+	decision := a.door.Packet(model.Now(), p, from, forward.Search)
+	if decision == door.Deliver || decision == door.Probe {
+		a.deliver(from, key, forward.Packet)
+	}
+	a.mu.Unlock()
+	switch decision {
+	case door.Deliver:
+		if forward.Search {
+			a.metrics.found.Inc()
+			a.metrics.searchLog.Info("flow_found", logrus.Fields{"flow": key, "balancer": from})
+			a.node.Send(from, packetnode.AppendKeys(nil, packetnode.KindClaims, []flow.Key{key}))
+		}
+	case door.Probe:
+		a.metrics.probed.Inc()
+	case door.NotHere:
+		a.refuse(from, key, forward.Packet, door.ReasonUnknownFlow, a.view.Load())
+	case door.Dead:
+		a.giveUp("target_ended")
+	}
+}
+
+// deliver hands a packet to the target. The caller holds the lock.
+func (a *agent) deliver(from netip.Addr, key flow.Key, packet []byte) {
+	a.codec.Prepare(packet, a.pending.add(from, key))
+	if _, err := a.outbound.WriteToUDPAddrPort(packet, a.settings.Target.Address); err != nil {
+		a.metrics.sendFailed.Inc()
+		return
+	}
+	a.metrics.delivered.Inc()
+}
+
+// readOutbound takes the packets of the target.
+func (a *agent) readOutbound() {
+	buffer := make([]byte, flow.MaxPacket)
+	for {
+		size, from, err := a.outbound.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			a.metrics.readFailed.Inc()
+			continue
+		}
+		if from.Addr().Unmap() != a.settings.Target.Address.Addr() && !from.Addr().Unmap().IsLoopback() {
+			a.metrics.foreign.Inc()
+			continue
+		}
+		a.takeOutbound(buffer[:size])
+	}
+}
+
+func (a *agent) takeOutbound(packet []byte) {
+	p, err := a.codec.Parse(packet)
+	if err != nil {
+		a.metrics.malformed.Inc()
+		return
+	}
+	if p.Flags.Has(flow.Bounced) {
+		a.takeReturned(p, packet)
+		return
+	}
+	key := p.ToClient()
+	a.mu.Lock()
+	tell := a.door.Sent(model.Now(), p)
+	balancer := a.door.Balancer(key)
+	if tell {
+		a.claims.add(key, balancer)
+	}
+	a.mu.Unlock()
+	a.metrics.sent.Inc()
+	a.sendToClient(p.Destination, packet)
+}
+
+// takeReturned takes a packet that the target can't use.
+func (a *agent) takeReturned(p flow.Packet, packet []byte) {
+	key := p.FromClient()
+	reason := door.ReasonUnknownFlow
+	if p.Opening() {
+		reason = door.ReasonFull
+	}
+	a.mu.Lock()
+	delivered, known := a.pending.take(p.Tag, key)
+	if known {
+		a.door.Returned(key)
+	}
+	a.mu.Unlock()
+	if !known {
+		a.metrics.untracked.Inc()
+		return
+	}
+	a.refuse(delivered.balancer, key, packet, reason, a.view.Load())
+}
--- /dev/null
+++ b/internal/packetlb/traffic.go
@@ -0,0 +1,136 @@
+package packetlb
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/balsamlink/balsamlink/internal/door"
+	"github.com/balsamlink/balsamlink/internal/flow"
+	"github.com/balsamlink/balsamlink/internal/flowsteer"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/packetnode"
+)
+
+// readClients takes the packets of the fabric.
+func (b *balancer) readClients() {
+	buffer := make([]byte, flow.MaxPacket)
+	for {
+		size, _, err := b.clients.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			b.metrics.readFailed.Inc()
+			continue
+		}
+		b.packets.Add(1)
+		b.takeClient(buffer[:size])
+	}
+}
+
+func (b *balancer) takeClient(packet []byte) {
+	p, err := b.codec.Parse(packet)
+	if err != nil {
+		b.metrics.malformed.Inc()
+		return
+	}
+	now := model.Now()
+	b.mu.Lock()
+	verdict := b.table.Client(now, p)
+	b.mu.Unlock()
+	b.carryOut(p.FromClient(), verdict, packet)
+}
+
+// takeReturn takes a packet that an agent can't use.
+func (b *balancer) takeReturn(from netip.Addr, datagram []byte) {
+	returned, err := packetnode.ParseReturn(datagram)
+	if err != nil {
+		b.metrics.malformed.Inc()
+		return
+	}
+	p, err := b.codec.Parse(returned.Packet)
+	if err != nil {
+		b.metrics.malformed.Inc()
+		return
+	}
+	b.node.Want(uint64(returned.AsOf))
+	b.metrics.returned[returned.Reason].Inc()
+	now := model.Now()
+	b.mu.Lock()
+	var verdict flowsteer.Verdict
+	if p.Opening() {
+		verdict = b.table.Refused(now, p, from, returned.Reason)
+	} else if returned.Reason == door.ReasonUnknownFlow {
+		verdict = b.table.Denied(now, p, from)
+	}
+	b.mu.Unlock()
+	b.carryOut(p.FromClient(), verdict, returned.Packet)
+}
+
+// takeClaims takes an agent's word that it holds flows.
+func (b *balancer) takeClaims(from netip.Addr, datagram []byte) {
+	keys, err := packetnode.ParseKeys(datagram)
+	if err != nil {
+		b.metrics.malformed.Inc()
+		return
+	}
+	now := model.Now()
+	b.metrics.claimed.Add(int64(len(keys)))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, key := range keys {
+		b.table.Claimed(now, key, from)
+	}
+}
+
+// carryOut does what a verdict says with a packet.
+func (b *balancer) carryOut(key flow.Key, verdict flowsteer.Verdict, packet []byte) {
+	b.metrics.verdicts[verdict.Action][verdict.Reason].Inc()
+	b.note(key, verdict)
+	switch verdict.Action {
+	case flowsteer.ActionForward:
+		b.forward(verdict.Agent, packet, false)
+	case flowsteer.ActionSearch:
+		for _, vm := range b.view.Load().agents {
+			if vm != verdict.Agent {
+				b.forward(vm, packet, true)
+			}
+		}
+	case flowsteer.ActionReset:
+		b.reset(key, verdict.Sequence)
+	}
+}
+
+func (b *balancer) forward(vm netip.Addr, packet []byte, search bool) {
+	buffer := make([]byte, 0, flow.MaxPacket+16)
+	b.node.Send(vm, packetnode.AppendForward(buffer, packetnode.Forward{
+		Search: search, AsOf: b.view.Load().asOf, Packet: packet,
+	}))
+}
+
+func (b *balancer) reset(key flow.Key, sequence uint32) {
+	address := netip.AddrPortFrom(netip.AddrFrom4(key.Client.IP), b.settings.Packets.Port())
+	if _, err := b.clients.WriteToUDPAddrPort(b.codec.AppendReset(nil, key, sequence), address); err != nil {
+		b.metrics.sendFailed.Inc()
+	}
+}
+
+// note logs a decision that concerns a flow as a whole. Packets that follow the
+// known way of their flow are counted only.
+func (b *balancer) note(key flow.Key, verdict flowsteer.Verdict) {
+	if verdict.Reason == flowsteer.ReasonKnown || verdict.Reason == flowsteer.ReasonEnded || verdict.Reason == flowsteer.ReasonSearching {
+		return
+	}
+	published := b.view.Load()
+	fields := logrus.Fields{
+		"flow": key, "action": verdict.Action, "reason": verdict.Reason, "agent": verdict.Agent, "as_of": published.asOf,
+		"state_age_ms": model.Now().Sub(published.view.Proven).Milliseconds(),
+	}
+	if published.view.State != nil && published.view.State.Config != nil {
+		fields["version"] = published.view.State.Config.Version
+	}
+	b.metrics.logs[verdict.Action].Info("flow_steered", fields)
+}
--- /dev/null
+++ b/internal/packetnode/process.go
@@ -0,0 +1,118 @@
+package packetnode
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/observe"
+	"github.com/balsamlink/balsamlink/internal/underlay"
+)
+
+const (
+	// memoryShare is the part of the memory that the garbage collector may let the
+	// heap grow to; the rest is for buffers that it does not see.
+	memoryShare = 0.7
+	// callHeaderTime bounds how long a caller may take for a request's header.
+	callHeaderTime = 2 * time.Second
+	callIdleTime   = 30 * time.Second
+	maxCallHeader  = 8 << 10
+	// closeTime bounds the wait for open calls at the end.
+	closeTime = 100 * time.Millisecond
+	// drainReserve is the part of the grace time that is kept for the end.
+	drainReserve = 0.2
+)
+
+// Base is what the processes of both roles have besides their own part.
+type Base struct {
+	Settings Settings
+	Underlay underlay.Underlay
+	Counters *observe.Counters
+	Log      *logrus.Entry
+
+	part kernel.Part
+}
+
+// NewBase fits the plug-in for the platform.
+func NewBase(settings Settings, log *logrus.Entry) (*Base, error) {
+	edge, part, err := kernel.FitPart[underlay.Underlay](
+		kernel.EdgeUnderlay, settings.Underlay.Plugin, "underlay.settings", settings.Underlay.Settings)
+	if err != nil {
+		return nil, err
+	}
+	counters := observe.NewCounters()
+	return &Base{Settings: settings, Underlay: edge, Counters: counters, Log: log, part: part}, nil
+}
+
+// Run runs a process with its own part until it is told to end.
+func (b *Base) Run(ctx context.Context, own kernel.Part) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(b.Settings.MemoryMegabytes<<20)))
+	b.Log.WithFields(logrus.Fields{
+		"node": b.Settings.Name, "vm": b.Settings.VM, "zone": b.Settings.Zone, "part": own.Name,
+	}).Info("process_starting")
+	err := kernel.Run(ctx, kernel.Options{
+		Log:          b.Log,
+		Counters:     b.Counters,
+		DrainTimeout: time.Duration(float64(b.Settings.Grace()) * (1 - drainReserve)),
+	}, []kernel.Part{b.part, own})
+	b.Log.WithField("error", err).Info("process_stopped")
+	return err
+}
+
+// Check checks settings without opening anything.
+func (b *Base) Check(own kernel.Part) error {
+	return kernel.Check(b.Log, []kernel.Part{b.part, own})
+}
+
+// Page is an HTTP server for a few callers.
+type Page struct {
+	server *http.Server
+	done   chan struct{}
+}
+
+// Serve starts an HTTP server.
+func Serve(address netip.AddrPort, handler http.Handler, log *logrus.Entry) (*Page, error) {
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return nil, Error.New("calls at %s: %v", address, err)
+	}
+	page := &Page{
+		server: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: callHeaderTime,
+			ReadTimeout:       callHeaderTime,
+			WriteTimeout:      callHeaderTime,
+			IdleTimeout:       callIdleTime,
+			MaxHeaderBytes:    maxCallHeader,
+		},
+		done: make(chan struct{}),
+	}
+	go func() {
+		defer close(page.done)
+		if err := page.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			log.WithError(err).WithField("address", address).Error("calls_not_served")
+		}
+	}()
+	return page, nil
+}
+
+// Close stops the server. Open calls end first if they end soon.
+func (p *Page) Close() error {
+	if p == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	if err := p.server.Shutdown(ctx); err != nil {
+		return Error.Wrap(p.server.Close())
+	}
+	<-p.done
+	return nil
+}
--- /dev/null
+++ b/internal/packetnode/settings.go
@@ -0,0 +1,209 @@
+// Package packetnode holds what the balancers and agents of the packet path have
+// in common: the settings, the other nodes, the operators' state with the proof
+// of its freshness, and the datagrams between nodes.
+package packetnode
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+
+	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// Error is the class of all errors of this layer.
+var Error = errs.Class("packetnode")
+
+// maxSettings is the largest settings file, in bytes.
+const maxSettings = 256 << 10
+
+// Settings are the settings of a balancer or an agent of the packet path.
+type Settings struct {
+	// Name names the node in logs.
+	Name string `json:"name"`
+	// VM is the address of the VM, which identifies the node to others.
+	VM   netip.Addr `json:"vm"`
+	Zone model.Zone `json:"zone"`
+	// Zones are all availability zones.
+	Zones    []model.Zone `json:"zones"`
+	LogLevel string       `json:"log_level,omitempty"`
+	// Packets is the UDP address at which the fabric delivers packets. Clients
+	// have its port.
+	Packets netip.AddrPort `json:"packets"`
+	// Readiness is the TCP address of the fabric's probe.
+	Readiness netip.AddrPort `json:"readiness"`
+	// Metrics is the TCP address of the operators' pages.
+	Metrics netip.AddrPort `json:"metrics"`
+	// Ports are the first and the last of the ports for nodes among themselves.
+	Ports []uint16 `json:"ports"`
+	// Seeds are addresses on VMs of some nodes, for when the store is silent.
+	Seeds []netip.AddrPort `json:"seeds"`
+	// Underlay is the plug-in for the platform.
+	Underlay Underlay `json:"underlay"`
+	// MemoryMegabytes is the memory that the process may use.
+	MemoryMegabytes int `json:"memory_mb"`
+	// GraceSeconds is how long a graceful shutdown may take.
+	GraceSeconds float64 `json:"grace_seconds"`
+	// FlowLifetimeSeconds is the longest life of a flow.
+	FlowLifetimeSeconds float64 `json:"flow_lifetime_seconds"`
+	// Target is the target beside an agent; balancers have none.
+	Target *Target `json:"target,omitempty"`
+}
+
+// Underlay names the plug-in for the platform with its settings.
+type Underlay struct {
+	Plugin   string          `json:"plugin"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Target describes the target beside an agent.
+type Target struct {
+	Service model.Service `json:"service"`
+	// Address is where the target takes packets (UDP) and health checks (TCP).
+	Address netip.AddrPort `json:"address"`
+	// Outbound is the UDP address that the target sends its packets to.
+	Outbound netip.AddrPort `json:"outbound"`
+	// Registration is the TCP address that the target announces itself at.
+	Registration netip.AddrPort `json:"registration"`
+	// HeartbeatMillis is the time between two heartbeats.
+	HeartbeatMillis int `json:"heartbeat_ms"`
+	// ColdFactor and ColdSlack bound the new flows a second of a cold target: its
+	// stated rate times the factor, plus the slack.
+	ColdFactor float64 `json:"cold_factor"`
+	ColdSlack  float64 `json:"cold_slack"`
+}
+
+// Heartbeat returns the time between two heartbeats.
+func (t *Target) Heartbeat() time.Duration {
+	return time.Duration(t.HeartbeatMillis) * time.Millisecond
+}
+
+// Grace returns how long a graceful shutdown may take.
+func (s *Settings) Grace() time.Duration {
+	return time.Duration(s.GraceSeconds * float64(time.Second))
+}
+
+// FlowLifetime returns the longest life of a flow.
+func (s *Settings) FlowLifetime() time.Duration {
+	return time.Duration(s.FlowLifetimeSeconds * float64(time.Second))
+}
+
+// Mesh returns the address for nodes among themselves on a VM: datagrams over
+// UDP and documents over TCP.
+func (s *Settings) Mesh(vm netip.Addr) netip.AddrPort {
+	return netip.AddrPortFrom(vm, s.Ports[0])
+}
+
+// LoadSettings reads the settings of a balancer or agent and checks them in full. The
+// JSON schema that checks other settings takes 7 ms of processor time to set up,
+// which is too much for a process that must serve again at once.
+func LoadSettings(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, Error.Wrap(err)
+	}
+	settings, err := ParseSettings(text)
+	if err != nil {
+		return Settings{}, Error.New("%s: %w", path, err)
+	}
+	return settings, nil
+}
+
+// ParseSettings decodes and checks settings.
+func ParseSettings(text []byte) (Settings, error) {
+	var settings Settings
+	if len(text) > maxSettings {
+		return Settings{}, Error.New("%d bytes; allowed: at most %d", len(text), maxSettings)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&settings); err != nil {
+		return Settings{}, Error.Wrap(err)
+	}
+	c := &checker{}
+	settings.check(c)
+	return settings, c.err()
+}
+
+// checker gathers the problems of settings.
+type checker struct {
+	problems []string
+}
+
+func (c *checker) add(path string, value any, allowed string) {
+	c.problems = append(c.problems, fmt.Sprintf("%s: %v; allowed: %s", path, value, allowed))
+}
+
+func (c *checker) err() error {
+	if len(c.problems) == 0 {
+		return nil
+	}
+	return Error.New("%s", strings.Join(c.problems, "\n"))
+}
+
+func (c *checker) address(path string, address netip.AddrPort) {
+	if !address.IsValid() || !address.Addr().Is4() || address.Port() == 0 {
+		c.add(path, address, "an IPv4 address and a port above 0")
+	}
+}
+
+func (c *checker) positive(path string, value float64) {
+	if value <= 0 {
+		c.add(path, value, "more than 0")
+	}
+}
+
+func (s *Settings) check(c *checker) {
+	if s.Name == "" {
+		c.add("name", `""`, "a name")
+	}
+	if !s.VM.Is4() {
+		c.add("vm", s.VM, "an IPv4 address")
+	}
+	if !slices.Contains(s.Zones, s.Zone) {
+		c.add("zone", s.Zone, fmt.Sprintf("one of zones: %v", s.Zones))
+	}
+	if _, err := logrus.ParseLevel(s.LogLevel); s.LogLevel != "" && err != nil {
+		c.add("log_level", s.LogLevel, fmt.Sprintf("one of %v", logrus.AllLevels))
+	}
+	c.address("packets", s.Packets)
+	c.address("readiness", s.Readiness)
+	c.address("metrics", s.Metrics)
+	if len(s.Ports) != 2 || s.Ports[0] == 0 || s.Ports[0] > s.Ports[1] {
+		c.add("ports", s.Ports, "the first and the last port of a range")
+	}
+	for i, seed := range s.Seeds {
+		c.address(fmt.Sprintf("seeds[%d]", i), seed)
+	}
+	if names := kernel.Names(kernel.EdgeUnderlay); !slices.Contains(names, s.Underlay.Plugin) {
+		c.add("underlay.plugin", s.Underlay.Plugin, fmt.Sprintf("one of %v", names))
+	}
+	c.positive("memory_mb", float64(s.MemoryMegabytes))
+	c.positive("grace_seconds", s.GraceSeconds)
+	c.positive("flow_lifetime_seconds", s.FlowLifetimeSeconds)
+	if s.Target != nil {
+		s.Target.check(c)
+	}
+}
+
+func (t *Target) check(c *checker) {
+	if t.Service == "" {
+		c.add("target.service", `""`, "a service")
+	}
+	c.address("target.address", t.Address)
+	c.address("target.outbound", t.Outbound)
+	c.address("target.registration", t.Registration)
+	c.positive("target.heartbeat_ms", float64(t.HeartbeatMillis))
+	if t.ColdFactor < 0 || t.ColdSlack < 0 {
+		c.add("target.cold_factor and cold_slack", fmt.Sprint(t.ColdFactor, t.ColdSlack), "0 or more")
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -32,6 +32,9 @@
 	ErrTooLarge = errs.New("value too large")
 	// ErrLeaseExpired tells that the lease is no longer valid.
 	ErrLeaseExpired = errs.New("lease expired")
+	// ErrHistoryGone tells that the service no longer holds the history that a
+	// watch wants to continue from.
+	ErrHistoryGone = errs.New("history is no longer kept")
 	// ErrOverBudget tells that this process has used up its budget of calls.
 	ErrOverBudget = errs.New("call budget exhausted")
 )
@@ -87,6 +90,25 @@
 	Revoke(ctx context.Context, lease LeaseID) error
 }
 
+// Expectation states the version that a key is thought to have; 0 stands for a
+// key without a value.
+type Expectation struct {
+	Key     string
+	Version Version
+}
+
+// Prover is a Store that can tell what is current at less cost than by reading
+// all of it again. Its methods return errors of the class Error.
+type Prover interface {
+	Store
+	// Snapshot returns all entries under a prefix and a version as of which they
+	// are complete. A relaxed snapshot is cheaper and may be some seconds old.
+	Snapshot(ctx context.Context, prefix string, relaxed bool) (Change, error)
+	// Verify returns nil if all expectations held at one moment during the call,
+	// and ErrConflict if not. It changes nothing.
+	Verify(ctx context.Context, expectations []Expectation) error
+}
+
 // Change is the result of a watch: all entries under the prefix as of Version.
 type Change struct {
 	Entries []Entry `json:"entries"`
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,130 @@
+// Package routing holds what the operators have declared: the routes, the
+// services and the availability zones that are out of service. A State is
+// immutable; nodes replace it as a whole.
+package routing
+
+import (
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/balsamlink/balsamlink/internal/flow"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/platform"
+)
+
+// Error is the class of all errors of this layer.
+var Error = errs.Class("routing")
+
+// Class tells what the requests on a route are.
+type Class uint8
+
+// The classes.
+const (
+	// ClassRead requests are idempotent.
+	ClassRead Class = iota
+	// ClassBooking requests run once at most.
+	ClassBooking
+	// ClassDownload requests are idempotent with large answers.
+	ClassDownload
+)
+
+// Choice is one service of a route with its share of the new flows.
+type Choice struct {
+	Service model.Service
+	Weight  uint32
+}
+
+// Route tells which services new flows to an address go to.
+type Route struct {
+	Name    string
+	Address flow.Endpoint
+	Class   Class
+	// Priority is 0 for the most important requests.
+	Priority int
+	Choices  []Choice
+	// Aim is the answer time that callers expect.
+	Aim time.Duration
+}
+
+// Pick returns the service of a new flow. Equal hashes get the same service.
+func (r *Route) Pick(hash uint64) model.Service {
+	var total uint64
+	for _, choice := range r.Choices {
+		total += uint64(choice.Weight)
+	}
+	if total == 0 {
+		return ""
+	}
+	point := hash % total
+	for _, choice := range r.Choices {
+		if point < uint64(choice.Weight) {
+			return choice.Service
+		}
+		point -= uint64(choice.Weight)
+	}
+	return ""
+}
+
+// Allows reports whether new flows may go to a service.
+func (r *Route) Allows(service model.Service) bool {
+	for _, choice := range r.Choices {
+		if choice.Service == service && choice.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Service is what the operators declare of a service.
+type Service struct {
+	Name model.Service
+	// HealthPath is the path of the health check at each target.
+	HealthPath string
+	// WarmUp is how long a new target is cold; WarmUpRate is the number of new
+	// flows a second that a cold target bears.
+	WarmUp     time.Duration
+	WarmUpRate float64
+	// MaxFlows is the number of flows that a target holds; 0 means no limit.
+	MaxFlows int
+}
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	// Version rises with each change.
+	Version  uint64
+	Routes   map[flow.Endpoint]*Route
+	Services map[model.Service]*Service
+	// IdleTimeout is how long a flow may rest before it may be discarded.
+	IdleTimeout time.Duration
+}
+
+// State is all that the operators have declared.
+type State struct {
+	Config *Config
+	// Out holds the availability zones that are out of service.
+	Out map[model.Zone]bool
+}
+
+// Document is a State as the platform keeps it. Nodes hand it on unchanged.
+type Document struct {
+	// AsOf is a version of the platform at which the entries were the newest.
+	AsOf    platform.Version
+	Entries []platform.Entry
+}
+
+// Print identifies the contents of a document: two documents with the same print
+// hold the same state.
+func (d Document) Print() uint64 {
+	print := uint64(14695981039346656037)
+	mix := func(b byte) { print = (print ^ uint64(b)) * 1099511628211 }
+	for _, entry := range d.Entries {
+		for i := range len(entry.Key) {
+			mix(entry.Key[i])
+		}
+		for shift := 0; shift < 64; shift += 8 {
+			mix(byte(entry.Version >> shift))
+		}
+	}
+	return print
+}
--- a/internal/rpc/methods.go
+++ b/internal/rpc/methods.go
@@ -20,4 +20,6 @@
 	MethodOutcome Method = 8
 	// MethodStatus asks a node for what balsamctl status shows.
 	MethodStatus Method = 9
+	// MethodState asks a node of the packet path for the operators' state.
+	MethodState Method = 10
 )
