Give up a flow that all registered agents deny also soon after a balancer's start

Ruled out: trusting each young balancer (an agent that it has not met may hold the flow). Test: TestBalancerThatHasJustStartedTrustsTheListOfAgents failed first.

--- a/internal/flowsteer/table.go
+++ b/internal/flowsteer/table.go
@@ -238,6 +238,7 @@
 	if agent == nil {
 		delete(t.records, key)
 		if now.Sub(t.started) < unsettledTime {
+			// The first reports of agents and heartbeats of targets are on their way.
 			return Verdict{Reason: ReasonNoTarget}
 		}
 		return Verdict{Action: ActionReset, Reason: ReasonNoTarget}
@@ -325,7 +326,7 @@
 // notFound reports whether it is proven that no target holds a flow: every agent
 // has denied it or is lost, and the balancer knows all agents.
 func (t *Table) notFound(now model.Instant, s *search) bool {
-	if now.Sub(t.started) < unsettledTime || !t.view.connected(now) {
+	if !t.settled(now) || !t.view.connected(now) {
 		return false
 	}
 	for vm, agent := range t.view.Agents {
@@ -336,6 +337,11 @@
 	return true
 }
 
+// settled reports whether the balancer knows all agents that may hold a flow.
+func (t *Table) settled(now model.Instant) bool {
+	return t.view.Listed || now.Sub(t.started) >= unsettledTime
+}
+
 // Claimed takes an agent's word that it holds a flow.
 func (t *Table) Claimed(now model.Instant, key flow.Key, agent netip.Addr) {
 	known := t.records[key]
@@ -364,7 +370,7 @@
 	if agent == nil || !agent.lost(now) {
 		return false
 	}
-	return agent.State == AgentGone || (now.Sub(t.started) >= unsettledTime && t.view.connected(now))
+	return agent.State == AgentGone || (t.settled(now) && t.view.connected(now))
 }
 
 func (t *Table) giveUp(key flow.Key, known *record, why Reason) Verdict {
--- /dev/null
+++ b/internal/flowsteer/table_test.go
@@ -0,0 +1,334 @@
+package flowsteer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamlink/balsamlink/internal/door"
+	"github.com/balsamlink/balsamlink/internal/flow"
+	"github.com/balsamlink/balsamlink/internal/flowsteer"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/routing"
+)
+
+const (
+	feed  = model.Service("feed")
+	files = model.Service("files")
+	here  = model.Zone("a")
+	there = model.Zone("b")
+)
+
+var (
+	feedAddress  = endpoint("198.18.0.1:443")
+	filesAddress = endpoint("198.18.0.2:443")
+	// start is late enough that nothing lies before the clock's zero.
+	start = model.Instant(time.Hour)
+)
+
+func endpoint(text string) flow.Endpoint { return flow.EndpointOf(netip.MustParseAddrPort(text)) }
+
+func vm(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}) }
+
+func client(n int) flow.Endpoint {
+	return flow.Endpoint{IP: [4]byte{100, 64, byte(n >> 8), byte(n)}, Port: 40000}
+}
+
+func opening(n int) flow.Packet {
+	return flow.Packet{Source: client(n), Destination: feedAddress, Flags: flow.Open}
+}
+
+func data(n int) flow.Packet {
+	return flow.Packet{Source: client(n), Destination: feedAddress, Flags: flow.Ack, Acknowledged: 77, Length: 100}
+}
+
+// bench is a table with its view, in which tests change agents.
+type bench struct {
+	table  *flowsteer.Table
+	agents map[netip.Addr]*flowsteer.Agent
+	state  *routing.State
+	proven model.Instant
+	// listed tells that the balancer has read who is registered.
+	listed bool
+	now    model.Instant
+}
+
+func newBench(agents ...*flowsteer.Agent) *bench {
+	b := &bench{
+		table:  flowsteer.NewTable(flowsteer.Limits{Flows: 1000, Lifetime: time.Minute}, start),
+		agents: map[netip.Addr]*flowsteer.Agent{},
+		state: &routing.State{
+			Out: map[model.Zone]bool{},
+			Config: &routing.Config{
+				Version: 1, IdleTimeout: 15 * time.Second,
+				Routes: map[flow.Endpoint]*routing.Route{
+					feedAddress:  {Address: feedAddress, Choices: []routing.Choice{{Service: feed, Weight: 1}}},
+					filesAddress: {Address: filesAddress, Choices: []routing.Choice{{Service: files, Weight: 1}}},
+				},
+			},
+		},
+		listed: true,
+		now:    start,
+	}
+	for _, agent := range agents {
+		b.agents[agent.VM] = agent
+	}
+	b.hear()
+	return b
+}
+
+func agent(n int, zone model.Zone, service model.Service) *flowsteer.Agent {
+	return &flowsteer.Agent{
+		VM: vm(n), Zone: zone, Service: service, State: flowsteer.AgentOpen, Slots: 4, Interval: 200 * time.Millisecond, Met: true,
+	}
+}
+
+// hear lets all agents but some report now.
+func (b *bench) hear(silent ...netip.Addr) {
+	for at, agent := range b.agents {
+		quiet := false
+		for _, other := range silent {
+			quiet = quiet || other == at
+		}
+		if !quiet {
+			agent.Heard = b.now
+		}
+	}
+	b.proven = b.now
+	b.show()
+}
+
+// show publishes the view.
+func (b *bench) show() {
+	view := &flowsteer.View{
+		Zone: here, State: b.state, Proven: b.proven, Listed: b.listed,
+		Agents: map[netip.Addr]*flowsteer.Agent{}, ByService: map[model.Service][]*flowsteer.Agent{},
+	}
+	for n := range 255 {
+		agent := b.agents[vm(n)]
+		if agent == nil {
+			continue
+		}
+		copied := *agent
+		view.Agents[copied.VM] = &copied
+		if copied.Met {
+			view.ByService[copied.Service] = append(view.ByService[copied.Service], &copied)
+		}
+	}
+	b.table.SetView(view, nil)
+}
+
+// pass lets time go by while all agents but some report.
+func (b *bench) pass(d time.Duration, silent ...netip.Addr) {
+	for end := b.now.Add(d); b.now < end; {
+		b.now = b.now.Add(min(100*time.Millisecond, end.Sub(b.now)))
+		b.hear(silent...)
+	}
+}
+
+func (b *bench) client(p flow.Packet) flowsteer.Verdict { return b.table.Client(b.now, p) }
+
+func TestNewFlowsAreSpreadByLoad(t *testing.T) {
+	b := newBench(agent(1, here, feed), agent(2, here, feed), agent(3, here, feed))
+	b.agents[vm(3)].Flows = 60
+	b.hear()
+	count := map[netip.Addr]int{}
+	for n := range 60 {
+		verdict := b.client(opening(n))
+		require.Equal(t, flowsteer.ActionForward, verdict.Action)
+		count[verdict.Agent]++
+	}
+	require.Zero(t, count[vm(3)], "the agent with 60 flows gets none until the others have caught up")
+	require.InDelta(t, 30, count[vm(1)], 1)
+}
+
+func TestOwnZoneComesFirstWhileItsLoadAllows(t *testing.T) {
+	b := newBench(agent(1, here, feed), agent(2, there, feed))
+	require.Equal(t, vm(1), b.client(opening(1)).Agent)
+	b.agents[vm(1)].Flows = 40
+	b.hear()
+	require.Equal(t, vm(2), b.client(opening(2)).Agent)
+}
+
+func TestAgentsThatTakeNothingGetNoNewFlows(t *testing.T) {
+	cases := map[string]func(b *bench){
+		"closed":     func(b *bench) { b.agents[vm(1)].State = flowsteer.AgentClosed; b.hear() },
+		"restarting": func(b *bench) { b.agents[vm(1)].State = flowsteer.AgentRestarting; b.hear() },
+		"gone":       func(b *bench) { b.agents[vm(1)].State = flowsteer.AgentGone; b.hear() },
+		"silent":     func(b *bench) { b.pass(time.Second, vm(1)) },
+		"zone out":   func(b *bench) { b.state.Out[here] = true; b.show() },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(agent(1, here, feed), agent(2, there, feed))
+			change(b)
+			for n := range 20 {
+				require.Equal(t, vm(2), b.client(opening(n)).Agent)
+			}
+		})
+	}
+}
+
+func TestCopiesFollowTheFirstOpeningPacket(t *testing.T) {
+	b := newBench(agent(1, here, feed), agent(2, here, feed))
+	first := b.client(opening(1))
+	b.pass(200 * time.Millisecond)
+	require.Equal(t, first.Agent, b.client(opening(1)).Agent)
+	b.pass(time.Second, first.Agent)
+	require.NotEqual(t, first.Agent, b.client(opening(1)).Agent, "a silent agent is passed over")
+}
+
+func TestRefusedFlowsAreOfferedElsewhereAndThenGivenUp(t *testing.T) {
+	b := newBench(agent(1, here, feed), agent(2, here, feed))
+	first := b.client(opening(1))
+	second := b.table.Refused(b.now, opening(1), first.Agent, door.ReasonFull)
+	require.Equal(t, flowsteer.ActionForward, second.Action)
+	require.NotEqual(t, first.Agent, second.Agent)
+	last := b.table.Refused(b.now, opening(1), second.Agent, door.ReasonFull)
+	require.Equal(t, flowsteer.ActionReset, last.Action, "what can't be served is refused at once")
+
+	verdict := b.client(opening(2))
+	b.table.Refused(b.now, opening(2), verdict.Agent, door.ReasonCold)
+	last = b.table.Refused(b.now, opening(2), otherThan(verdict.Agent), door.ReasonCold)
+	require.Equal(t, flowsteer.ActionDrop, last.Action, "a cold target takes the next copy perhaps")
+	last = refuseAll(b, flow.Packet{Source: client(3), Destination: feedAddress, Flags: flow.Open, Acknowledged: 2}, door.ReasonCold)
+	require.Equal(t, flowsteer.ActionReset, last.Action, "no further copy comes")
+}
+
+func refuseAll(b *bench, p flow.Packet, why door.Reason) flowsteer.Verdict {
+	verdict := b.client(p)
+	for verdict.Action == flowsteer.ActionForward {
+		verdict = b.table.Refused(b.now, p, verdict.Agent, why)
+	}
+	return verdict
+}
+
+func otherThan(address netip.Addr) netip.Addr {
+	if address == vm(1) {
+		return vm(2)
+	}
+	return vm(1)
+}
+
+func TestNoRouteIsTheAnswerOnlyWithProof(t *testing.T) {
+	b := newBench(agent(1, here, feed))
+	unknown := opening(1)
+	unknown.Destination = endpoint("198.18.0.9:80")
+	require.Equal(t, flowsteer.ActionReset, b.client(unknown).Action)
+	b.now = b.now.Add(2 * time.Second)
+	require.Equal(t, flowsteer.ActionDrop, b.client(unknown).Action, "a newer configuration may have the route")
+	b.state.Config = nil
+	b.show()
+	require.Equal(t, flowsteer.ReasonNoState, b.client(opening(2)).Reason)
+}
+
+func TestUnknownFlowIsSearchedForAndFollowsItsClaim(t *testing.T) {
+	b := newBench(agent(1, here, feed), agent(2, there, files))
+	require.Equal(t, flowsteer.ActionSearch, b.client(data(1)).Action)
+	b.table.Claimed(b.now, data(1).FromClient(), vm(2))
+	verdict := b.client(data(1))
+	require.Equal(t, flowsteer.ActionForward, verdict.Action)
+	require.Equal(t, vm(2), verdict.Agent, "also an agent of another service than the route's")
+}
+
+func TestSearchesAreBounded(t *testing.T) {
+	b := newBench(agent(1, here, feed))
+	copies := 0
+	for range 20 {
+		if b.client(data(1)).Action == flowsteer.ActionSearch {
+			copies++
+		}
+	}
+	require.Equal(t, 3, copies)
+	b.pass(250 * time.Millisecond)
+	require.Equal(t, flowsteer.ActionSearch, b.client(data(1)).Action, "the client's next copy starts a new search")
+}
+
+func TestDeniedFlowIsGivenUpOnlyWhenEveryAgentHasDeniedIt(t *testing.T) {
+	b := newBench(agent(1, here, feed), agent(2, here, feed), agent(3, there, files))
+	b.pass(6 * time.Second)
+	require.Equal(t, flowsteer.ActionSearch, b.client(data(1)).Action)
+	require.Equal(t, flowsteer.ActionDrop, b.table.Denied(b.now, data(1), vm(1)).Action)
+	require.Equal(t, flowsteer.ActionDrop, b.table.Denied(b.now, data(1), vm(1)).Action, "the same agent counts once")
+	require.Equal(t, flowsteer.ActionDrop, b.table.Denied(b.now, data(1), vm(2)).Action)
+	verdict := b.table.Denied(b.now, data(1), vm(3))
+	require.Equal(t, flowsteer.ActionReset, verdict.Action)
+	require.EqualValues(t, 77, verdict.Sequence)
+}
+
+// A balancer that has just started knows all agents as soon as it has read the
+// registrations: a node stays registered for some seconds after its end, so
+// that those which are on their way back are on the list.
+func TestBalancerThatHasJustStartedTrustsTheListOfAgents(t *testing.T) {
+	search := func(b *bench) flowsteer.Verdict {
+		require.Equal(t, flowsteer.ActionSearch, b.client(data(1)).Action)
+		b.table.Denied(b.now, data(1), vm(1))
+		return b.table.Denied(b.now, data(1), vm(2))
+	}
+	b := newBench(agent(1, here, feed), agent(2, here, feed))
+	b.pass(500 * time.Millisecond)
+	require.Equal(t, flowsteer.ActionReset, search(b).Action)
+
+	b = newBench(agent(1, here, feed), agent(2, here, feed))
+	b.listed = false
+	b.pass(500 * time.Millisecond)
+	require.Equal(t, flowsteer.ActionDrop, search(b).Action, "not listed: others may hold the flow")
+
+	unmet := agent(3, here, feed)
+	unmet.Met = false
+	b = newBench(agent(1, here, feed), agent(2, here, feed), unmet)
+	b.pass(500*time.Millisecond, vm(3))
+	require.Equal(t, flowsteer.ActionDrop, search(b).Action, "an agent that is listed and was not met may hold the flow")
+	b.pass(time.Second, vm(3))
+	require.Equal(t, flowsteer.ActionReset, search(b).Action, "an agent that does not come back is lost")
+}
+
+func TestFlowsOfALostAgentAreGivenUp(t *testing.T) {
+	for _, state := range []flowsteer.AgentState{flowsteer.AgentOpen, flowsteer.AgentRestarting} {
+		t.Run(fmt.Sprint(state), func(t *testing.T) {
+			b := newBench(agent(1, here, feed), agent(2, here, feed), agent(3, here, feed))
+			b.pass(6 * time.Second)
+			b.client(data(1))
+			b.table.Claimed(b.now, data(1).FromClient(), vm(1))
+			b.client(data(1))
+			b.agents[vm(1)].State = state
+			b.pass(2*time.Second, vm(1))
+			losses := b.table.Expire(b.now)
+			if state == flowsteer.AgentRestarting {
+				require.Empty(t, losses, "it has said that its target lives on")
+				b.pass(4*time.Second, vm(1))
+				losses = b.table.Expire(b.now)
+			}
+			require.Len(t, losses, 1)
+			require.EqualValues(t, 77, losses[0].Verdict.Sequence)
+		})
+	}
+}
+
+func TestBalancerThatHearsFewAgentsGivesNothingUp(t *testing.T) {
+	b := newBench(agent(1, here, feed), agent(2, here, feed), agent(3, here, feed))
+	b.pass(6 * time.Second)
+	b.client(data(1))
+	b.table.Claimed(b.now, data(1).FromClient(), vm(1))
+	b.client(data(1))
+	b.pass(3*time.Second, vm(1), vm(2))
+	require.Empty(t, b.table.Expire(b.now))
+	require.Equal(t, flowsteer.ActionForward, b.client(data(1)).Action)
+}
+
+func TestTableIsBounded(t *testing.T) {
+	b := newBench(agent(1, here, feed))
+	for n := range 1500 {
+		b.client(opening(n))
+		b.client(data(n))
+		b.table.Claimed(b.now, data(n).FromClient(), vm(1))
+	}
+	require.Equal(t, 1000, b.table.Size())
+	require.Equal(t, flowsteer.ReasonTableFull, b.client(opening(1400)).Reason)
+	b.pass(2 * time.Minute)
+	b.table.Expire(b.now)
+	require.Zero(t, b.table.Size())
+}
--- a/internal/flowsteer/view.go
+++ b/internal/flowsteer/view.go
@@ -45,6 +45,9 @@
 	Busy  int
 	// Cold tells that the target has just started.
 	Cold bool
+	// Met tells that the agent was ever heard. One that was not is known from its
+	// registration only, and Heard is when that was read.
+	Met bool
 }
 
 // View is what a balancer knows besides its flows. It is immutable.
@@ -54,8 +57,11 @@
 	State *routing.State
 	// Proven is when the state was last known to be the newest.
 	Proven model.Instant
+	// Listed tells that the registrations of all nodes have been read since the
+	// balancer's start. A node stays registered for some seconds after its end.
+	Listed bool
 	Agents map[netip.Addr]*Agent
-	// ByService holds the agents of each service in the order of their VMs.
+	// ByService holds the agents of each service that were met, in the order of their VMs.
 	ByService map[model.Service][]*Agent
 }
 
@@ -71,10 +77,13 @@
 	minLost = 1200 * time.Millisecond
 	// restartTime is how long an agent that announced its restart may be away.
 	restartTime = 5 * time.Second
-	// unsettledTime is how long a balancer that has started does not trust the
-	// absence of an answer. It exceeds the time in which nodes meet each other
-	// after the platform's service was away.
+	// unsettledTime is how long a balancer that could not read the registrations
+	// does not trust the absence of an answer. It exceeds the time in which nodes
+	// meet each other after the platform's service was away.
 	unsettledTime = 5 * time.Second
+	// absentTime is how long an agent must be silent to tell nothing any more of
+	// whether the balancer is cut off.
+	absentTime = 6 * time.Second
 )
 
 // silent reports whether an agent's reports are overdue.
@@ -106,11 +115,11 @@
 func (v *View) connected(now model.Instant) bool {
 	heard, expected := 0, 0
 	for _, agent := range v.Agents {
-		if agent.State == AgentGone || agent.State == AgentRestarting {
+		if agent.State == AgentGone || agent.State == AgentRestarting || now.Sub(agent.Heard) > absentTime {
 			continue
 		}
 		expected++
-		if !agent.silent(now) {
+		if agent.Met && !agent.silent(now) {
 			heard++
 		}
 	}
--- a/internal/packetlb/balancer.go
+++ b/internal/packetlb/balancer.go
@@ -226,17 +226,21 @@
 func (b *balancer) publish(update packetnode.Update) *published {
 	state, proven := update.Knowledge.State()
 	view := &flowsteer.View{
-		Zone: b.settings.Zone, State: state, Proven: proven,
+		Zone: b.settings.Zone, State: state, Proven: proven, Listed: update.Listed,
 		Agents:    map[netip.Addr]*flowsteer.Agent{},
 		ByService: map[model.Service][]*flowsteer.Agent{},
 	}
 	next := &published{view: view, asOf: update.Knowledge.Document().AsOf}
 	for vm, node := range update.Roster.Nodes() {
-		if node.Peer.Role != model.RoleAgent || !node.Met() {
+		if node.Peer.Role != model.RoleAgent {
 			continue
 		}
 		agent := agentOf(node)
 		view.Agents[vm] = agent
+		if !agent.Met {
+			next.agents = append(next.agents, vm)
+			continue
+		}
 		view.ByService[agent.Service] = append(view.ByService[agent.Service], agent)
 		if agent.State != flowsteer.AgentGone {
 			next.agents = append(next.agents, vm)
@@ -251,7 +255,7 @@
 func agentOf(node *packetnode.Other) *flowsteer.Agent {
 	return &flowsteer.Agent{
 		VM: node.Peer.VM, Zone: node.Peer.Zone, Service: node.Peer.Service, State: agentState(node.State),
-		Heard: node.Heard, Interval: node.Interval, Slots: int(node.Load.Slots), Flows: int(node.Load.Flows),
+		Met: node.Met(), Heard: max(node.Heard, node.Added), Interval: node.Interval, Slots: int(node.Load.Slots), Flows: int(node.Load.Flows),
 		Busy: int(node.Load.Busy), Cold: node.Load.Cold,
 	}
 }
--- a/internal/packetnode/node.go
+++ b/internal/packetnode/node.go
@@ -68,6 +68,8 @@
 	// those of them that are new incarnations.
 	Reported []netip.Addr
 	Joined   []netip.Addr
+	// Listed tells that the registrations have been read since the node's start.
+	Listed bool
 }
 
 // Node is one node's connection to the others and to the store. One goroutine
@@ -391,7 +393,7 @@
 }
 
 func (n *Node) publish(now model.Instant) {
-	n.config.Changed(now, Update{Roster: n.roster, Knowledge: n.knowledge, Reported: n.reported, Joined: n.joined})
+	n.config.Changed(now, Update{Roster: n.roster, Knowledge: n.knowledge, Reported: n.reported, Joined: n.joined, Listed: n.lookup.listed})
 	n.reported, n.joined = n.reported[:0], n.joined[:0]
 }
 
--- a/internal/packetnode/store.go
+++ b/internal/packetnode/store.go
@@ -326,13 +326,14 @@
 type lookup struct {
 	busy  bool
 	exact bool
-	done  bool
-	pause pause
-	seeds pause
+	// listed tells that an exact lookup has succeeded.
+	listed bool
+	pause  pause
+	seeds  pause
 }
 
 func (l *lookup) tick(n *Node, now model.Instant) {
-	if !l.done && l.seeds.over(now) {
+	if !l.listed && l.seeds.over(now) {
 		l.seeds.failed(now)
 		n.greetSeeds(now)
 	}
@@ -340,12 +341,12 @@
 		return
 	}
 	l.busy = true
-	relaxed := !l.exact
+	exact := l.exact || !l.listed
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
-		change, err := n.config.Underlay.Store().Snapshot(ctx, prefixNodes, relaxed)
-		n.finish(func(now model.Instant) { l.finished(n, now, change, err) })
+		change, err := n.config.Underlay.Store().Snapshot(ctx, prefixNodes, !exact)
+		n.finish(func(now model.Instant) { l.finished(n, now, change, exact, err) })
 	}()
 }
 
@@ -358,14 +359,15 @@
 	}
 }
 
-func (l *lookup) finished(n *Node, now model.Instant, change platform.Change, err error) {
+func (l *lookup) finished(n *Node, now model.Instant, change platform.Change, exact bool, err error) {
 	l.busy = false
 	if err != nil {
 		n.metrics.storeFailed.Inc()
 		l.pause.failed(now)
 		return
 	}
-	l.done, l.exact = true, false
+	l.listed = l.listed || exact
+	l.exact = false
 	l.pause.succeeded(now.Add(lookupInterval))
 	found := false
 	for _, entry := range change.Entries {
