Let new flows wait at the agent for a cold or busy target

Change: the door keeps a bounded number of opening packets, lets them in as the cold limit and the target's slots allow, the more important first and of these the newest, and tells balancers its room.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -70,8 +70,11 @@
 	ReasonNoTarget
 	// ReasonLeaving tells that the target is draining or gone.
 	ReasonLeaving
-	// ReasonCold tells that the target is cold and has its share.
+	// ReasonCold tells that the target is cold, and that as many flows wait as it
+	// will bear in time.
 	ReasonCold
+	// ReasonBusy tells that as many flows wait as the busy target can take in time.
+	ReasonBusy
 	// ReasonFull tells that the target returned the packet or holds all the
 	// flows that it can.
 	ReasonFull
@@ -84,7 +87,7 @@
 const ReasonCount = int(reasonCount)
 
 var reasonNames = [...]string{"none", "no_state", "no_route", "other_service", "zone_out", "no_target", "leaving",
-	"cold", "full", "unknown_flow"}
+	"cold", "busy", "full", "unknown_flow"}
 
 // String returns the name of the reason that logs and metrics use.
 func (r Reason) String() string {
@@ -99,13 +102,14 @@
 	// exceeds the second that the limit speaks of, since packets may reach the
 	// target closer together than they left.
 	coldWindow = 1100 * time.Millisecond
-	// coldReserve is the number of new flows that is kept back from the bound.
-	coldReserve = 1
 	// closedLinger is how long a closed flow is remembered for its last packets.
 	closedLinger = 2 * time.Second
 	// openTimeout is how long a flow may take to open. A client gives up after
 	// 1.4 s.
 	openTimeout = 2 * time.Second
+	// freshTime is how long a new flow's first request is waited for. A client
+	// opens a flow when it has one.
+	freshTime = 300 * time.Millisecond
 	// missedHeartbeats is how many heartbeats a target may miss before it gets no
 	// new flows. The users take a target as gone two seconds after it is due.
 	missedHeartbeats = 3
@@ -136,6 +140,10 @@
 	opened []model.Instant
 	flows  map[flow.Key]*entry
 	busy   int
+	// fresh is the number of flows whose first request is still to come.
+	fresh   int
+	entered []entering
+	waiting map[flow.Key]*waiter
 	// complete tells that every flow that the target holds is in the table.
 	complete bool
 }
@@ -156,7 +164,7 @@
 
 // New makes a door of a target of which nothing is known.
 func New(config Config, now model.Instant) *Door {
-	return &Door{config: config, started: now, flows: map[flow.Key]*entry{}}
+	return &Door{config: config, started: now, flows: map[flow.Key]*entry{}, waiting: map[flow.Key]*waiter{}}
 }
 
 // Target returns what is known of the target.
@@ -247,29 +255,42 @@
 	}
 }
 
+// Opening is a new flow that asks for the target.
+type Opening struct {
+	Key flow.Key
+	// Balancer forwarded the opening packet.
+	Balancer netip.Addr
+	// Packet is the opening packet, which the door keeps while the flow waits.
+	Packet []byte
+}
+
 // Open decides whether a new flow may reach the target, under the operators'
-// state that the agent knows. A copy of an opening packet that was let in goes
-// the same way.
-func (d *Door) Open(now model.Instant, state *routing.State, key flow.Key, balancer netip.Addr) Reason {
-	if reason := d.permit(state, key); reason != ReasonNone {
+// state that the agent knows. Flows that may enter now, with others that were
+// waiting, are returned by Admit. A copy of an opening packet that was let in
+// goes the same way.
+func (d *Door) Open(now model.Instant, state *routing.State, opening Opening) Reason {
+	if reason := d.permit(state, opening.Key); reason != ReasonNone {
 		return reason
 	}
 	if reason := d.refusal(now); reason != ReasonNone {
 		return reason
 	}
-	if known := d.flows[key]; known != nil {
-		known.balancer, known.lastIn = balancer, now
+	if known := d.flows[opening.Key]; known != nil {
+		known.balancer, known.lastIn = opening.Balancer, now
+		d.await(now, state, opening)
 		return ReasonNone
 	}
 	service := state.Config.Services[d.config.Service]
 	if len(d.flows) >= d.config.MaxFlows || (service != nil && service.MaxFlows > 0 && len(d.flows) >= service.MaxFlows) {
 		return ReasonFull
 	}
-	if d.Cold(now) && !d.coldRoom(now, service) {
-		return ReasonCold
+	if d.waiting[opening.Key] == nil && d.room(now, service) <= 0 && len(d.waiting) >= d.waitingLimit(now, service) {
+		if d.Cold(now) {
+			return ReasonCold
+		}
+		return ReasonBusy
 	}
-	d.noteOpened(now)
-	d.flows[key] = &entry{balancer: balancer, lastIn: now, born: d.target.Born}
+	d.await(now, state, opening)
 	return ReasonNone
 }
 
@@ -298,17 +319,7 @@
 	if service != nil {
 		rate = service.WarmUpRate
 	}
-	return max(1, int(rate*d.config.ColdFactor+d.config.ColdSlack)-coldReserve)
-}
-
-func (d *Door) coldRoom(now model.Instant, service *routing.Service) bool {
-	d.trimOpened(now)
-	return len(d.opened) < d.coldLimit(service)
-}
-
-func (d *Door) noteOpened(now model.Instant) {
-	d.trimOpened(now)
-	d.opened = append(d.opened, now)
+	return max(1, int(rate*d.config.ColdFactor+d.config.ColdSlack))
 }
 
 func (d *Door) trimOpened(now model.Instant) {
--- a/internal/door/flows.go
+++ b/internal/door/flows.go
@@ -20,8 +20,13 @@
 	clientAck uint32
 	lastIn    model.Instant
 	lastOut   model.Instant
-	// busy tells that the target owes the client an answer.
-	busy          bool
+	// busy tells that the target owes the client an answer. It begins with data
+	// that the client has not sent before, up to the sequence number next.
+	busy    bool
+	next    uint32
+	started bool
+	// fresh tells that the client's first request is still to come.
+	fresh         bool
 	endedByClient bool
 	endedByTarget bool
 	// told tells that the balancers were told of the flow.
@@ -65,9 +70,9 @@
 	if p.Flags.Has(flow.End) {
 		known.endedByClient = true
 	}
-	if p.Length > 0 && !known.busy {
-		known.busy = true
-		d.busy++
+	if p.Length > 0 {
+		d.spend(known)
+		d.request(known, p)
 	}
 	if p.Flags.Has(flow.Reset) {
 		d.remove(p.FromClient(), known)
@@ -75,6 +80,19 @@
 	return Deliver
 }
 
+// request notes a client's data, unless it was sent before.
+func (d *Door) request(known *entry, p flow.Packet) {
+	next := p.Sequence + uint32(p.Length)
+	if known.started && int32(next-known.next) <= 0 {
+		return
+	}
+	known.started, known.next = true, next
+	if !known.busy {
+		known.busy = true
+		d.busy++
+	}
+}
+
 // settle notes when the agent has run for longer than a flow may rest: it has
 // then seen a packet of every flow that the target holds.
 func (d *Door) settle(now model.Instant, idle time.Duration) {
@@ -178,15 +196,28 @@
 
 // Load is what an agent reports of its target.
 type Load struct {
+	// Flows are those that are open and those that wait.
 	Flows int
-	// Busy is the number of flows on which the target owes an answer.
+	// Busy is the number of flows on which the target owes an answer, and of those
+	// whose first request is about to come.
 	Busy int
 }
 
 // Load returns the present load.
-func (d *Door) Load() Load { return Load{Flows: len(d.flows), Busy: d.busy} }
+func (d *Door) Load() Load {
+	return Load{Flows: len(d.flows) + len(d.waiting), Busy: d.busy + d.fresh + len(d.waiting)}
+}
+
+// spend notes that a flow's first request has come, or will not.
+func (d *Door) spend(known *entry) {
+	if known.fresh {
+		known.fresh = false
+		d.fresh--
+	}
+}
 
 func (d *Door) remove(key flow.Key, known *entry) {
+	d.spend(known)
 	if known.busy {
 		d.busy--
 	}
--- a/internal/flowsteer/place.go
+++ b/internal/flowsteer/place.go
@@ -55,7 +55,7 @@
 	first := int(hash>>32) % len(agents)
 	for i := range min(len(agents), sampleSize) {
 		agent := agents[(first+i)%len(agents)]
-		if !agent.takes(now, t.view.State) || contains(tried, agent.VM) {
+		if !agent.takes(now, t.view.State) || contains(tried, agent.VM) || t.placed[agent.VM] >= agent.Room {
 			continue
 		}
 		if cost := t.cost(agent); best == nil || cost < lowest {
--- a/internal/flowsteer/table.go
+++ b/internal/flowsteer/table.go
@@ -7,6 +7,7 @@
 	"github.com/balsamlink/balsamlink/internal/door"
 	"github.com/balsamlink/balsamlink/internal/flow"
 	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/routing"
 )
 
 // Action tells what becomes of a packet.
@@ -48,9 +49,9 @@
 	ReasonNoTarget
 	// ReasonRefused tells that all agents that were tried refused the flow.
 	ReasonRefused
-	// ReasonColdTargets tells that only cold targets are left, which have their
-	// share.
-	ReasonColdTargets
+	// ReasonNoRoom tells that all targets have as many flows waiting as they can
+	// take in time.
+	ReasonNoRoom
 	// ReasonSearching tells that the search is on and has had enough copies.
 	ReasonSearching
 	// ReasonNotFound tells that no agent holds the flow.
@@ -76,7 +77,7 @@
 func (a Action) String() string { return actionNames[a] }
 
 var reasonNames = [...]string{"placed", "known", "retried", "unknown_flow", "no_state", "no_route", "unproven_route",
-	"no_target", "refused", "cold_targets", "searching", "not_found", "agent_lost", "table_full", "ended"}
+	"no_target", "refused", "no_room", "searching", "not_found", "agent_lost", "table_full", "ended"}
 
 // String returns the name that logs and metrics use.
 func (r Reason) String() string { return reasonNames[r] }
@@ -237,11 +238,7 @@
 	agent := t.place(now, route, key, known.tried)
 	if agent == nil {
 		delete(t.records, key)
-		if now.Sub(t.started) < unsettledTime {
-			// The first reports of agents and heartbeats of targets are on their way.
-			return Verdict{Reason: ReasonNoTarget}
-		}
-		return Verdict{Action: ActionReset, Reason: ReasonNoTarget}
+		return t.unplaced(now, p, route)
 	}
 	t.records[key] = known
 	known.agent = agent.VM
@@ -249,6 +246,35 @@
 	return Verdict{Action: ActionForward, Reason: why, Agent: agent.VM}
 }
 
+// unplaced decides on an opening packet that no agent would take now. While
+// targets are expected to take more soon, the client's next copy is waited for;
+// after the last one it is told to try anew.
+func (t *Table) unplaced(now model.Instant, p flow.Packet, route *routing.Route) Verdict {
+	if t.serving(now, route) {
+		if p.Acknowledged < lastCopy {
+			return Verdict{Reason: ReasonNoRoom}
+		}
+		return Verdict{Action: ActionReset, Reason: ReasonNoRoom}
+	}
+	if now.Sub(t.started) < unsettledTime {
+		// The first reports of agents and heartbeats of targets are on their way.
+		return Verdict{Reason: ReasonNoTarget}
+	}
+	return Verdict{Action: ActionReset, Reason: ReasonNoTarget}
+}
+
+// serving reports whether any target of a route takes new flows at all.
+func (t *Table) serving(now model.Instant, route *routing.Route) bool {
+	for _, choice := range route.Choices {
+		for _, agent := range t.view.ByService[choice.Service] {
+			if choice.Weight > 0 && agent.takes(now, t.view.State) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Refused decides on an opening packet that an agent returned.
 func (t *Table) Refused(now model.Instant, p flow.Packet, agent netip.Addr, why door.Reason) Verdict {
 	key := p.FromClient()
@@ -273,9 +299,9 @@
 	}
 	delete(t.records, key)
 	switch why {
-	case door.ReasonCold:
+	case door.ReasonCold, door.ReasonBusy:
 		if p.Acknowledged < lastCopy {
-			return Verdict{Reason: ReasonColdTargets}
+			return Verdict{Reason: ReasonNoRoom}
 		}
 	case door.ReasonNoState, door.ReasonNoRoute, door.ReasonOtherService, door.ReasonNoTarget:
 		return Verdict{Reason: ReasonRefused}
--- a/internal/flowsteer/table_test.go
+++ b/internal/flowsteer/table_test.go
@@ -82,7 +82,7 @@
 
 func agent(n int, zone model.Zone, service model.Service) *flowsteer.Agent {
 	return &flowsteer.Agent{
-		VM: vm(n), Zone: zone, Service: service, State: flowsteer.AgentOpen, Slots: 4, Interval: 200 * time.Millisecond, Met: true,
+		VM: vm(n), Zone: zone, Service: service, State: flowsteer.AgentOpen, Slots: 4, Interval: 200 * time.Millisecond, Met: true, Room: 100,
 	}
 }
 
--- a/internal/flowsteer/view.go
+++ b/internal/flowsteer/view.go
@@ -45,6 +45,8 @@
 	Busy  int
 	// Cold tells that the target has just started.
 	Cold bool
+	// Room is the number of new flows that the agent would take.
+	Room int
 	// Met tells that the agent was ever heard. One that was not is known from its
 	// registration only, and Heard is when that was read.
 	Met bool
--- a/internal/packetagent/agent.go
+++ b/internal/packetagent/agent.go
@@ -202,6 +202,7 @@
 	load := a.door.Load()
 	return state, packetnode.Load{
 		Slots: uint32(a.door.Target().Slots), Flows: uint32(load.Flows), Busy: uint32(load.Busy), Cold: a.door.Cold(now),
+		Room: uint32(a.door.Room(now, a.view.Load().state)),
 	}
 }
 
@@ -213,6 +214,9 @@
 			a.introduce(node.Peer)
 		}
 	}
+	a.mu.Lock()
+	a.admit(now, a.view.Load())
+	a.mu.Unlock()
 	a.flushClaims()
 	a.watch.tick(a, now)
 	if now.Sub(a.expired) >= expireInterval {
--- a/internal/packetagent/traffic.go
+++ b/internal/packetagent/traffic.go
@@ -1,6 +1,7 @@
 package packetagent
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"net/netip"
@@ -75,16 +76,21 @@
 	key := p.FromClient()
 	now := model.Now()
 	a.mu.Lock()
-	reason := a.door.Open(now, view.state, key, from)
-	if reason == door.ReasonNone {
-		a.deliver(from, key, forward.Packet)
-	}
+	reason := a.door.Open(now, view.state, door.Opening{Key: key, Balancer: from, Packet: bytes.Clone(forward.Packet)})
+	a.admit(now, view)
 	a.mu.Unlock()
-	if reason == door.ReasonNone {
+	if reason != door.ReasonNone {
+		a.refuse(from, key, forward.Packet, reason, view)
+	}
+}
+
+// admit hands the opening packets to the target that may enter now. The caller
+// holds the lock.
+func (a *agent) admit(now model.Instant, view *view) {
+	for _, opening := range a.door.Admit(now, view.state) {
 		a.metrics.opened.Inc()
-		return
+		a.deliver(opening.Balancer, opening.Key, opening.Packet)
 	}
-	a.refuse(from, key, forward.Packet, reason, view)
 }
 
 // refuse returns a packet to its balancer.
@@ -167,7 +173,9 @@
 	}
 	key := p.ToClient()
 	a.mu.Lock()
-	tell := a.door.Sent(model.Now(), p)
+	now := model.Now()
+	tell := a.door.Sent(now, p)
+	a.admit(now, a.view.Load())
 	balancer := a.door.Balancer(key)
 	if tell {
 		a.claims.add(key, balancer)
--- a/internal/packetnode/messages.go
+++ b/internal/packetnode/messages.go
@@ -193,6 +193,8 @@
 	Flows uint32
 	Busy  uint32
 	Cold  bool
+	// Room is the number of new flows that the agent would take.
+	Room uint32
 }
 
 // interval returns the time between two beats.
