--- a/cmd/balsamdev/main.go
+++ b/cmd/balsamdev/main.go
@@ -15,6 +15,7 @@
 	"github.com/balsamlink/balsamlink/internal/standin/deployment"
 	"github.com/balsamlink/balsamlink/internal/standin/fabric"
 	"github.com/balsamlink/balsamlink/internal/standin/platform"
+	"github.com/balsamlink/balsamlink/internal/standin/site"
 	"github.com/balsamlink/balsamlink/internal/standin/target"
 )
 
@@ -31,6 +32,7 @@
 			target.Command(),
 			load.Command(),
 			experiment.Command(),
+			site.Command(),
 		},
 	}
 	os.Exit(command.Execute(root, os.Args))
--- /dev/null
+++ b/internal/failure/packets_test.go
@@ -0,0 +1,366 @@
+package failure
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"os/exec"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamlink/balsamlink/internal/standin/site"
+	"github.com/balsamlink/balsamlink/platform/wire"
+)
+
+const (
+	desk  = "memberdesk"
+	proof = "proofroom"
+	// applyTime and evacuateTime are the users' bounds for changes.
+	applyTime    = 3 * time.Second
+	evacuateTime = 5 * time.Second
+	// apiece is the deadline of one request.
+	apiece = 4 * time.Second
+)
+
+// octets gives each site loopback addresses of its own.
+var octets atomic.Int32
+
+func startSite(t *testing.T, change func(*site.Shape)) *site.Site {
+	t.Parallel()
+	shape := site.Shape{
+		Zones: []string{"a", "b"}, Balancers: 1, Hash: site.HashMod, Octet: byte(100 + octets.Add(1)),
+		Services: []site.ServiceShape{{Name: desk, Targets: 3}, {Name: proof, Targets: 1}},
+	}
+	if change != nil {
+		change(&shape)
+	}
+	running, err := site.Start(shape, programs, t.TempDir())
+	require.NoError(t, err)
+	t.Cleanup(running.Close)
+	return running
+}
+
+// openFlows opens some flows to the first route and serves a request on each.
+func openFlows(t *testing.T, s *site.Site, count int) []*site.Flow {
+	var flows []*site.Flow
+	for n, zone := range []string{"a", "b"} {
+		client, err := s.NewClient(zone, 100+n)
+		require.NoError(t, err)
+		for range count / 2 {
+			opened := client.Open(s.Address(0))
+			require.NotNil(t, opened)
+			require.Equal(t, site.OutcomeServed, opened.Request("warm", 100, []string{desk}, apiece))
+			flows = append(flows, opened)
+		}
+	}
+	return flows
+}
+
+// serveAll sends one request on each flow at the same time and requires that
+// every one of them is answered.
+func serveAll(t *testing.T, flows []*site.Flow) {
+	t.Helper()
+	outcomes := make([]site.Outcome, len(flows))
+	var running sync.WaitGroup
+	for i, f := range flows {
+		running.Go(func() { outcomes[i] = f.Request("again", 3000, []string{desk}, 2*apiece) })
+	}
+	running.Wait()
+	for i, outcome := range outcomes {
+		require.Equal(t, site.OutcomeServed, outcome, "flow %s", flows[i].Key)
+	}
+}
+
+func restart(t *testing.T, s *site.Site, node *site.Node, signal syscall.Signal) {
+	t.Helper()
+	err := s.End(node, signal)
+	var exit *exec.ExitError
+	if signal != syscall.SIGKILL || !errors.As(err, &exit) {
+		require.NoError(t, err, "%s ends gracefully", node.Name)
+	}
+	require.NoError(t, s.StartNode(node))
+}
+
+func requireUnharmed(t *testing.T, s *site.Site) {
+	t.Helper()
+	require.Zero(t, s.Forged(), "packets that are not as their sender wrote them")
+}
+
+func TestPacketFlowsOutliveTheirBalancers(t *testing.T) {
+	s := startSite(t, func(shape *site.Shape) { shape.Balancers = 2 })
+	flows := openFlows(t, s, 20)
+	for i, node := range s.Nodes("") {
+		signal := syscall.SIGTERM
+		if i%2 == 1 {
+			signal = syscall.SIGKILL
+		}
+		restart(t, s, node, signal)
+		serveAll(t, flows)
+	}
+	_, err := s.AddBalancer("a")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.Router.Ready() == 5 }, apiece, 20*time.Millisecond)
+	serveAll(t, flows)
+	requireUnharmed(t, s)
+}
+
+func TestPacketFlowsOutliveTheAgentsOfLivingTargets(t *testing.T) {
+	s := startSite(t, nil)
+	flows := openFlows(t, s, 20)
+	for i, node := range s.Nodes(desk) {
+		signal := syscall.SIGTERM
+		if i%2 == 1 {
+			signal = syscall.SIGKILL
+		}
+		restart(t, s, node, signal)
+		serveAll(t, flows)
+	}
+	requireUnharmed(t, s)
+}
+
+func TestPacketFlowsOutliveTheEndOfAllProcesses(t *testing.T) {
+	s := startSite(t, nil)
+	flows := openFlows(t, s, 20)
+	var nodes []*site.Node
+	for _, service := range []string{"", desk, proof} {
+		nodes = append(nodes, s.Nodes(service)...)
+	}
+	for _, node := range nodes {
+		require.NoError(t, s.Signal(node, syscall.SIGKILL))
+	}
+	for _, node := range nodes {
+		require.Error(t, s.Wait(node))
+		require.NoError(t, s.StartNode(node))
+	}
+	serveAll(t, flows)
+	requireUnharmed(t, s)
+}
+
+// The flows of a target that has ended are given up at once, so that clients
+// can try again within their aim, and their next flow opens elsewhere.
+func TestPacketFlowsOfAnEndedTargetAreReset(t *testing.T) {
+	s := startSite(t, nil)
+	flows := openFlows(t, s, 30)
+	node := s.Nodes(desk)[0]
+	crashed := s.Target(node)
+	var lost, kept []*site.Flow
+	for _, f := range flows {
+		if crashed.Holds(f.Key) {
+			lost = append(lost, f)
+		} else {
+			kept = append(kept, f)
+		}
+	}
+	require.NotEmpty(t, lost)
+	crashed.Crash()
+	require.NoError(t, s.StartTarget(node))
+	for _, f := range lost {
+		require.Equal(t, site.OutcomeReset, f.Request("lost", 10, []string{desk}, apiece))
+	}
+	serveAll(t, kept)
+	serveAll(t, openFlowsAt(t, s, 150, 10))
+	requireUnharmed(t, s)
+}
+
+func openFlowsAt(t *testing.T, s *site.Site, client, count int) []*site.Flow {
+	t.Helper()
+	c, err := s.NewClient("a", client)
+	require.NoError(t, err)
+	var flows []*site.Flow
+	for range count {
+		f := c.Open(s.Address(0))
+		require.NotNil(t, f)
+		flows = append(flows, f)
+	}
+	return flows
+}
+
+// The agent and the target end together, as with a VM that loses power.
+func TestPacketFlowsOfALostVMAreReset(t *testing.T) {
+	s := startSite(t, nil)
+	flows := openFlows(t, s, 30)
+	node := s.Nodes(desk)[0]
+	var lost []*site.Flow
+	for _, f := range flows {
+		if s.Target(node).Holds(f.Key) {
+			lost = append(lost, f)
+		}
+	}
+	require.NotEmpty(t, lost)
+	s.Target(node).Crash()
+	require.Error(t, s.End(node, syscall.SIGKILL))
+	begun := time.Now()
+	for _, f := range lost {
+		require.Equal(t, site.OutcomeReset, f.Request("lost", 10, []string{desk}, apiece))
+	}
+	require.Less(t, time.Since(begun), applyTime)
+	require.NotNil(t, openFlowsAt(t, s, 150, 3))
+}
+
+func TestPacketConfigurationIsInForceWhileWatchesHearNothing(t *testing.T) {
+	s := startSite(t, nil)
+	flows := openFlows(t, s, 10)
+	s.Store.SetDeaf(true)
+	s.Configure(s.Route(0, wire.Backend{Service: proof, Weight: 1}), s.Route(1, wire.Backend{Service: proof, Weight: 1}))
+	s.Store.Compact()
+	client, err := s.NewClient("a", 150)
+	require.NoError(t, err)
+	changed := time.Now()
+	require.Eventually(t, func() bool {
+		f := client.Open(s.Address(0))
+		return f != nil && f.Request("moved", 10, []string{proof}, apiece) == site.OutcomeServed
+	}, applyTime, 10*time.Millisecond)
+	t.Logf("in force after %s", time.Since(changed))
+	// A version in force never goes back.
+	for range 100 {
+		f := client.Open(s.Address(0))
+		require.NotNil(t, f)
+		require.Equal(t, site.OutcomeServed, f.Request("moved", 10, []string{proof}, apiece))
+	}
+	// Open flows stay where they are, also for balancers that have just started.
+	serveAll(t, flows)
+	for _, node := range s.Nodes("") {
+		restart(t, s, node, syscall.SIGKILL)
+	}
+	serveAll(t, flows)
+	requireUnharmed(t, s)
+}
+
+func TestPacketDrainAndEvacuationAreInForce(t *testing.T) {
+	s := startSite(t, nil)
+	flows := openFlows(t, s, 20)
+	leaving := s.Target(s.Nodes(desk)[0])
+	leaving.Drain()
+	opened := leaving.Seen().Opened
+	openFlowsAt(t, s, 150, 30)
+	require.Equal(t, opened, leaving.Seen().Opened, "acknowledged means that nothing new comes")
+	serveAll(t, flows)
+
+	s.Evacuate("b", true)
+	evacuated := time.Now()
+	client, err := s.NewClient("b", 151)
+	require.NoError(t, err)
+	for {
+		before, at := seenIn(s, "b"), time.Now()
+		for range 10 {
+			require.NotNil(t, client.Open(s.Address(0)))
+		}
+		if seenIn(s, "b") == before && at.Sub(evacuated) > applyTime {
+			break
+		}
+		require.Less(t, time.Since(evacuated), evacuateTime)
+	}
+	s.Evacuate("b", false)
+	require.Eventually(t, func() bool {
+		before := seenIn(s, "b")
+		return client.Open(s.Address(0)) != nil && seenIn(s, "b") > before
+	}, evacuateTime, 10*time.Millisecond)
+	requireUnharmed(t, s)
+}
+
+// seenIn returns the flows that the targets of a service in a zone have seen.
+func seenIn(s *site.Site, zone string) int {
+	seen := 0
+	for _, node := range s.Nodes(desk) {
+		if node.Zone() == zone {
+			seen += s.Target(node).Seen().Opened
+		}
+	}
+	return seen
+}
+
+func TestPacketPathOutlivesTheStore(t *testing.T) {
+	faults := map[string]site.Fault{
+		"busy": site.FaultBusy, "many": site.FaultMany, "reset": site.FaultReset, "silent": site.FaultSilent, "lost": site.FaultLost,
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			s := startSite(t, nil)
+			flows := openFlows(t, s, 10)
+			s.Store.SetFault(func(net.IP, bool) site.Fault { return fault })
+			s.Store.Lapse()
+			serveAll(t, flows)
+			// A balancer that starts meanwhile learns the state from its peers.
+			restart(t, s, s.Nodes("")[0], syscall.SIGKILL)
+			require.Eventually(t, func() bool { return metric(s.Nodes("")[0], "state_version") > 0 }, 2*apiece, 50*time.Millisecond)
+			serveAll(t, flows)
+			s.Store.SetFault(nil)
+			require.Eventually(t, func() bool { return len(s.Store.Keys("balsamlink/nodes/")) >= 6 }, 2500*time.Millisecond, 20*time.Millisecond,
+				"registrations that lapsed are back within 2 s")
+			serveAll(t, openFlowsAt(t, s, 150, 10))
+			requireUnharmed(t, s)
+		})
+	}
+}
+
+// metric reads one metric of a node; 0 stands for a node that does not answer.
+func metric(node *site.Node, name string) float64 {
+	response, err := http.Get("http://" + node.Metrics().String() + "/debug/vars")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	var page struct {
+		Balsamlink map[string]any `json:"balsamlink"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&page); err != nil {
+		return 0
+	}
+	value, _ := page.Balsamlink[name].(float64)
+	return value
+}
+
+func TestPacketPathSparesColdTargets(t *testing.T) {
+	s := startSite(t, func(shape *site.Shape) {
+		shape.Cold, shape.Services = 3*time.Second, []site.ServiceShape{{Name: desk, Targets: 2}}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+	defer cancel()
+	_, err := s.Load(ctx, 60)
+	require.NoError(t, err)
+	for _, node := range s.Nodes(desk) {
+		opened := s.Target(node).Seen().OpenedAt
+		for i := range opened {
+			if i >= 5 && i < 10 {
+				require.Greater(t, opened[i].Sub(opened[i-5]), time.Second, "at most 5 flows within a second")
+			}
+		}
+	}
+}
+
+// A process that is stopped and goes on, as on a VM that freezes, must not give
+// up flows whose targets live.
+func TestPacketFlowsOutliveAFrozenProcess(t *testing.T) {
+	s := startSite(t, nil)
+	flows := openFlows(t, s, 20)
+	for _, node := range []*site.Node{s.Nodes("")[0], s.Nodes("")[1]} {
+		require.NoError(t, s.Signal(node, syscall.SIGSTOP))
+		time.AfterFunc(2*time.Second, func() {
+			// A process that has ended meanwhile fails the test by itself.
+			_ = s.Signal(node, syscall.SIGCONT)
+		})
+		serveAll(t, flows)
+	}
+	requireUnharmed(t, s)
+}
+
+func TestPacketPathServesMixedLoad(t *testing.T) {
+	for _, hash := range []site.Hash{site.HashSteady, site.HashMod} {
+		t.Run(string(hash), func(t *testing.T) {
+			s := startSite(t, func(shape *site.Shape) { shape.Hash = hash })
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			tally, err := s.Load(ctx, 20)
+			require.NoError(t, err)
+			require.Positive(t, tally.Served)
+			require.Equal(t, site.Tally{Served: tally.Served}, tally)
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/site/command.go
@@ -0,0 +1,61 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this layer.
+var Error = errs.Class("site")
+
+// Command returns the command "site" of balsamdev.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "site",
+		Usage: "run a small deployment of the packet path on loopback addresses and check every answer",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "programs", Usage: "`FOLDER` with the programs", Value: "bin"},
+			&cli.StringFlag{Name: "folder", Usage: "`FOLDER` for settings and logs", Value: "run/platform"},
+			&cli.DurationFlag{Name: "duration", Usage: "how long clients send", Value: 10 * time.Second},
+			&cli.IntFlag{Name: "clients", Usage: "number of clients", Value: 30},
+			&cli.StringFlag{Name: "hash", Usage: "how routers choose: steady or mod", Value: string(HashSteady)},
+			&cli.IntFlag{Name: "octet", Usage: "second octet of the loopback addresses", Value: 90},
+		},
+		Action: runSite,
+	}
+}
+
+func runSite(ctx context.Context, command *cli.Command) error {
+	folder := command.String("folder")
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return Error.Wrap(err)
+	}
+	running, err := Start(Shape{
+		Zones: []string{"gauteng-a", "gauteng-b"}, Balancers: 2, Hash: Hash(command.String("hash")), Octet: byte(command.Int("octet")),
+		Services: []ServiceShape{{Name: "memberdesk", Targets: 4}, {Name: "proofroom", Targets: 2}},
+	}, command.String("programs"), folder)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer running.Close()
+	fmt.Println("serving; logs are in", folder)
+	ctx, cancel := context.WithTimeout(ctx, command.Duration("duration"))
+	defer cancel()
+	tally, err := running.Load(ctx, command.Int("clients"))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(tally); err != nil {
+		return Error.Wrap(err)
+	}
+	if tally.Wrong+tally.Broken+tally.Forged+tally.Reset+tally.NotOpened+tally.Late > 0 || tally.Served == 0 {
+		return Error.New("not every request was served")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/site/site.go
@@ -0,0 +1,442 @@
+package site
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/flow"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/packetnode"
+	"github.com/balsamlink/balsamlink/platform"
+	"github.com/balsamlink/balsamlink/platform/wire"
+)
+
+// The ports of a site. All VMs have the same.
+const (
+	portPackets = 18172 + iota
+	portReadiness
+	portRegistration
+	portOutbound
+	portTarget
+	portStore
+	portMetrics
+	portMesh
+)
+
+// The programs that a site runs.
+const (
+	programBalancer = "balsampktlb"
+	programAgent    = "balsampktagent"
+)
+
+const (
+	graceSeconds   = 3
+	startTimeout   = 10 * time.Second
+	pollInterval   = 20 * time.Millisecond
+	nodeMemory     = 128
+	idleTimeout    = 15 * time.Second
+	targetSlots    = 8
+	flowLifetime   = 60
+	maxTargetFlows = 2000
+)
+
+// ServiceShape is one service of a site.
+type ServiceShape struct {
+	Name    string
+	Targets int
+}
+
+// Shape is the shape of a site.
+type Shape struct {
+	Zones []string
+	// Balancers is their number in each zone.
+	Balancers int
+	Services  []ServiceShape
+	Hash      Hash
+	// Octet is the second octet of the loopback addresses in use, so that sites
+	// may run beside each other.
+	Octet byte
+	// Cold is how long targets are cold after their start.
+	Cold time.Duration
+}
+
+// Node is one process of the system.
+type Node struct {
+	Name     string
+	settings packetnode.Settings
+	program  string
+	path     string
+	command  *exec.Cmd
+	ended    chan error
+}
+
+// VM returns the address of the node's VM.
+func (n *Node) VM() netip.Addr { return n.settings.VM }
+
+// Metrics returns the address of the node's metrics.
+func (n *Node) Metrics() netip.AddrPort { return n.settings.Metrics }
+
+// Zone returns the node's availability zone.
+func (n *Node) Zone() string { return string(n.settings.Zone) }
+
+// Service returns the service of the target beside the node, if any.
+func (n *Node) Service() string {
+	if n.settings.Target == nil {
+		return ""
+	}
+	return string(n.settings.Target.Service)
+}
+
+// Site is a running deployment.
+type Site struct {
+	Store  *Store
+	Router *Router
+
+	shape    Shape
+	programs string
+	folder   string
+	http     *http.Server
+	clients  []*Client
+	version  uint64
+
+	mu      sync.Mutex
+	nodes   map[string]*Node
+	targets map[string]*Target
+	nextVM  map[string]int
+}
+
+// Start starts a site with the programs of a folder. Settings and logs go to
+// another folder.
+func Start(shape Shape, programs, folder string) (*Site, error) {
+	s := &Site{
+		Store: NewStore(), shape: shape, programs: programs, folder: folder,
+		nodes: map[string]*Node{}, targets: map[string]*Target{}, nextVM: map[string]int{},
+	}
+	if err := s.start(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start() error {
+	listener, err := net.Listen("tcp4", s.address(0, 1, portStore).String())
+	if err != nil {
+		return err
+	}
+	s.http = &http.Server{Handler: s.Store}
+	go s.http.Serve(listener)
+	if s.Router, err = NewRouter(s.shape.Hash, s.address(0, 2, portPackets)); err != nil {
+		return err
+	}
+	s.Configure(s.Routes()...)
+	for _, service := range s.shape.Services {
+		for i := range service.Targets {
+			if _, err := s.AddTarget(service.Name, s.shape.Zones[i%len(s.shape.Zones)]); err != nil {
+				return err
+			}
+		}
+	}
+	for _, zone := range s.shape.Zones {
+		for range s.shape.Balancers {
+			if _, err := s.AddBalancer(zone); err != nil {
+				return err
+			}
+		}
+	}
+	return s.await(func() bool { return s.Router.Ready() == s.shape.Balancers*len(s.shape.Zones) })
+}
+
+// await waits for a condition.
+func (s *Site) await(holds func() bool) error {
+	for limit := time.Now().Add(startTimeout); time.Now().Before(limit); {
+		if holds() {
+			return nil
+		}
+		time.Sleep(pollInterval)
+	}
+	return errors.New("site: condition not met in time")
+}
+
+func (s *Site) address(zone, host int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.shape.Octet, byte(zone), byte(host)}), port)
+}
+
+// newVM returns the address of a new VM in a zone.
+func (s *Site) newVM(zone string) netip.Addr {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextVM[zone]++
+	return s.address(1+slices.Index(s.shape.Zones, zone), s.nextVM[zone], 0).Addr()
+}
+
+func (s *Site) settings(name, zone string, vm netip.Addr) packetnode.Settings {
+	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(vm, port) }
+	zones := make([]model.Zone, 0, len(s.shape.Zones))
+	for _, zone := range s.shape.Zones {
+		zones = append(zones, model.Zone(zone))
+	}
+	underlay, err := json.Marshal(platform.Settings{Address: s.address(0, 1, portStore), TimeoutMillis: 400})
+	if err != nil {
+		panic("site: settings: " + err.Error())
+	}
+	return packetnode.Settings{
+		Name: name, VM: vm, Zone: model.Zone(zone), Zones: zones, Packets: at(portPackets), Readiness: at(portReadiness),
+		Metrics: at(portMetrics), Ports: []uint16{portMesh, portMesh}, Seeds: s.seeds(),
+		Underlay:        packetnode.Underlay{Plugin: platform.Name, Settings: underlay},
+		MemoryMegabytes: nodeMemory, GraceSeconds: graceSeconds, FlowLifetimeSeconds: flowLifetime,
+	}
+}
+
+func (s *Site) seeds() []netip.AddrPort {
+	return []netip.AddrPort{s.address(1, 1, portRegistration), s.address(min(2, len(s.shape.Zones)), 1, portRegistration)}
+}
+
+// AddBalancer adds a balancer on a new VM.
+func (s *Site) AddBalancer(zone string) (*Node, error) {
+	vm := s.newVM(zone)
+	name := fmt.Sprintf("lb-%s", vm)
+	node, err := s.addNode(programBalancer, s.settings(name, zone, vm))
+	if err != nil {
+		return nil, err
+	}
+	s.Router.Add(zone, node.settings.Packets, node.settings.Readiness)
+	return node, nil
+}
+
+// AddTarget adds a target with its agent on a new VM.
+func (s *Site) AddTarget(service, zone string) (*Node, error) {
+	vm := s.newVM(zone)
+	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(vm, port) }
+	settings := s.settings(fmt.Sprintf("%s-%s", service, vm), zone, vm)
+	settings.Target = &packetnode.Target{
+		Service: model.Service(service), Address: at(portTarget), Outbound: at(portOutbound), Registration: at(portRegistration),
+		HeartbeatMillis: int(heartbeatInterval.Milliseconds()), ColdFactor: 1.5, ColdSlack: 5,
+	}
+	node, err := s.addNode(programAgent, settings)
+	if err != nil {
+		return nil, err
+	}
+	return node, s.StartTarget(node)
+}
+
+// StartTarget starts a new incarnation of the target beside an agent.
+func (s *Site) StartTarget(node *Node) error {
+	target := node.settings.Target
+	started, err := StartTarget(TargetConfig{
+		Service: string(target.Service), Zone: node.Zone(), Address: target.Address, Outbound: target.Outbound,
+		Registration: target.Registration, Slots: targetSlots, Cold: s.shape.Cold,
+	})
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets[node.Name] = started
+	return nil
+}
+
+// Target returns the present incarnation of the target beside an agent.
+func (s *Site) Target(node *Node) *Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets[node.Name]
+}
+
+func (s *Site) addNode(program string, settings packetnode.Settings) (*Node, error) {
+	text, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	node := &Node{Name: settings.Name, settings: settings, program: program, path: filepath.Join(s.folder, settings.Name+".json")}
+	if err := os.WriteFile(node.path, text, 0o644); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	s.nodes[node.Name] = node
+	s.mu.Unlock()
+	return node, s.StartNode(node)
+}
+
+// StartNode starts a node's process.
+func (s *Site) StartNode(node *Node) error {
+	log, err := os.OpenFile(filepath.Join(s.folder, node.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	command := exec.Command(filepath.Join(s.programs, node.program), "--settings", node.path)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- command.Wait() }()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	node.command, node.ended = command, ended
+	return nil
+}
+
+// Signal sends a signal to a node's process.
+func (s *Site) Signal(node *Node, signal syscall.Signal) error {
+	return node.command.Process.Signal(signal)
+}
+
+// End sends a signal to a node's process and waits for its end.
+func (s *Site) End(node *Node, signal syscall.Signal) error {
+	if err := s.Signal(node, signal); err != nil {
+		return err
+	}
+	return s.Wait(node)
+}
+
+// Wait waits for the end of a node's process and returns how it ended.
+func (s *Site) Wait(node *Node) error {
+	err := <-node.ended
+	node.ended <- err
+	return err
+}
+
+// Nodes returns the nodes in the order of their names: balancers, or the agents
+// of a service.
+func (s *Site) Nodes(service string) []*Node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var nodes []*Node
+	for _, node := range s.nodes {
+		if node.Service() == service {
+			nodes = append(nodes, node)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b *Node) int { return a.VM().Compare(b.VM()) })
+	return nodes
+}
+
+// Holder returns the target that holds a flow.
+func (s *Site) Holder(key flow.Key) *Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, target := range s.targets {
+		if target.Holds(key) {
+			return target
+		}
+	}
+	return nil
+}
+
+// Address returns the address of the nth service's route.
+func (s *Site) Address(n int) flow.Endpoint {
+	return flow.Endpoint{IP: [4]byte{198, 18, 0, byte(n + 1)}, Port: 443}
+}
+
+// Routes returns one route for each service.
+func (s *Site) Routes() []wire.Route {
+	var routes []wire.Route
+	for n, service := range s.shape.Services {
+		routes = append(routes, s.Route(n, wire.Backend{Service: service.Name, Weight: 1}))
+	}
+	return routes
+}
+
+// Route returns the nth route with its services.
+func (s *Site) Route(n int, backends ...wire.Backend) wire.Route {
+	address := s.Address(n)
+	return wire.Route{
+		Name: fmt.Sprintf("r-%d", n), Host: address.AddrPort().Addr().String(), Prefix: fmt.Sprintf("/%d/", address.Port),
+		Type: "idempotent", AimMillis: 250, Priority: 1, Backends: backends,
+	}
+}
+
+// Configure writes a configuration with the next version.
+func (s *Site) Configure(routes ...wire.Route) {
+	s.version += 3
+	config := wire.Config{Version: &s.version, Limits: wire.Limits{IdleTimeoutMillis: float64(idleTimeout.Milliseconds())}}
+	for _, route := range routes {
+		config.Routes = append(config.Routes, mustMarshal(route))
+	}
+	for _, service := range s.shape.Services {
+		config.Services = append(config.Services, mustMarshal(wire.Service{
+			Name: service.Name, HealthCheck: healthPath, MaxFlows: maxTargetFlows, WarmUpSeconds: s.shape.Cold.Seconds(),
+		}))
+	}
+	s.Store.Write(wire.KeyConfig, mustMarshal(config))
+}
+
+// Evacuate takes a zone out of service, or back.
+func (s *Site) Evacuate(zone string, out bool) {
+	if out {
+		s.Store.Write(wire.PrefixEvacuate+zone, []byte("{}"))
+		return
+	}
+	s.Store.Write(wire.PrefixEvacuate+zone, nil)
+}
+
+func mustMarshal(value any) []byte {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic("site: " + err.Error())
+	}
+	return text
+}
+
+// NewClient makes the nth client of a zone.
+func (s *Site) NewClient(zone string, n int) (*Client, error) {
+	address := s.address(100+slices.Index(s.shape.Zones, zone), n+1, portPackets)
+	client, err := NewClient(zone, address, s.Router.Route)
+	if err == nil {
+		s.clients = append(s.clients, client)
+	}
+	return client, err
+}
+
+// Forged returns the packets that clients and targets saw which were not as
+// their sender wrote them.
+func (s *Site) Forged() int {
+	forged := 0
+	for _, client := range s.clients {
+		forged += client.Forged()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, target := range s.targets {
+		forged += target.Seen().Forged
+	}
+	return forged
+}
+
+// Close ends everything.
+func (s *Site) Close() {
+	for _, client := range s.clients {
+		client.Close()
+	}
+	s.mu.Lock()
+	nodes, targets := s.nodes, s.targets
+	s.mu.Unlock()
+	for _, target := range targets {
+		target.Crash()
+	}
+	for _, node := range nodes {
+		if node.command != nil {
+			node.command.Process.Kill()
+			<-node.ended
+		}
+	}
+	if s.Router != nil {
+		s.Router.Close()
+	}
+	if s.http != nil {
+		s.http.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/site/store.go
@@ -0,0 +1,451 @@
+// Package site is a stand-in for the users' platform on loopback addresses: the
+// key-value service, the fabric's routers, targets and clients of the flow
+// protocol, and the operators. It runs balancers and agents as real processes and
+// checks what clients and targets see.
+package site
+
+import (
+	"cmp"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/balsamlink/balsamlink/platform/wire"
+)
+
+const (
+	// pageSize is the number of items in one page.
+	pageSize = 500
+	// historySize is how many past changes are kept for watches.
+	historySize = 4096
+	// silentTime is how long a call waits that gets no answer.
+	silentTime = 30 * time.Second
+)
+
+// Fault is how the store treats a call.
+type Fault uint8
+
+// The faults.
+const (
+	FaultNone Fault = iota
+	// FaultBusy answers 503 and does nothing.
+	FaultBusy
+	// FaultMany answers 429 and does nothing.
+	FaultMany
+	// FaultReset resets the connection and does nothing.
+	FaultReset
+	// FaultSilent never answers and does nothing.
+	FaultSilent
+	// FaultLost does the call and never answers.
+	FaultLost
+)
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// Store is the stand-in for the key-value service. All methods are safe for
+// concurrent use.
+type Store struct {
+	mu        sync.Mutex
+	rev       uint64
+	items     map[string]wire.Item
+	history   []wire.Item
+	forgotten uint64
+	leases    map[uint64]*lease
+	nextLease uint64
+	changed   chan struct{}
+	calls     int
+	// fault decides on the calls of a caller; nil lets all through.
+	fault func(caller net.IP, write bool) Fault
+	delay time.Duration
+	// deaf watches hear nothing.
+	deaf bool
+}
+
+// NewStore makes an empty store.
+func NewStore() *Store {
+	return &Store{rev: 1, items: map[string]wire.Item{}, leases: map[uint64]*lease{}, changed: make(chan struct{})}
+}
+
+// SetFault replaces how calls are treated.
+func (s *Store) SetFault(fault func(caller net.IP, write bool) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// SetDelay makes every answer take some time.
+func (s *Store) SetDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
+// SetDeaf makes watches hear nothing.
+func (s *Store) SetDeaf(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = deaf
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.forgotten = nil, s.rev
+	s.wake()
+}
+
+// Lapse ends all leases.
+func (s *Store) Lapse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.endLease(id)
+	}
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Write is a write of the operators. A nil value deletes the key.
+func (s *Store) Write(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if value == nil {
+		s.delete(key)
+	} else {
+		s.put(wire.Put{Key: key, Value: value})
+	}
+}
+
+// Keys returns the keys under a prefix.
+func (s *Store) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	write := r.URL.Path == wire.PathTxn || r.URL.Path == wire.PathLease
+	fault, delay := s.begin(r, write)
+	time.Sleep(delay)
+	switch fault {
+	case FaultBusy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case FaultMany:
+		w.WriteHeader(http.StatusTooManyRequests)
+	case FaultReset:
+		reset(w)
+	case FaultSilent:
+		wait(r)
+	case FaultLost:
+		s.serve(&discard{header: http.Header{}}, r)
+		wait(r)
+	default:
+		s.serve(w, r)
+	}
+}
+
+func (s *Store) begin(r *http.Request, write bool) (Fault, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.fault == nil {
+		return FaultNone, s.delay
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return FaultReset, 0
+	}
+	return s.fault(net.ParseIP(host), write), s.delay
+}
+
+// discard is the answer of a call whose answer is lost.
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header            { return d.header }
+func (d *discard) Write(body []byte) (int, error) { return len(body), nil }
+func (d *discard) WriteHeader(int)                {}
+
+func wait(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-time.After(silentTime):
+	}
+}
+
+func reset(w http.ResponseWriter) {
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	conn, _, err := hijacker.Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	conn.Close()
+}
+
+func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	switch {
+	case r.URL.Path == wire.PathKey:
+		s.serveKey(w, query.Get(wire.QueryKey))
+	case r.URL.Path == wire.PathRange:
+		s.serveRange(w, query.Get(wire.QueryPrefix), query.Get(wire.QueryAfter))
+	case r.URL.Path == wire.PathWatch:
+		s.serveWatch(w, r)
+	case r.URL.Path == wire.PathTxn:
+		s.serveTxn(w, r)
+	case r.URL.Path == wire.PathLease:
+		s.serveLease(w, r)
+	case strings.HasPrefix(r.URL.Path, wire.PathKeepAlive):
+		s.serveKeepAlive(w, strings.TrimPrefix(r.URL.Path, wire.PathKeepAlive))
+	case strings.HasPrefix(r.URL.Path, wire.PathLeaseEnd):
+		s.serveLeaseEnd(w, strings.TrimPrefix(r.URL.Path, wire.PathLeaseEnd))
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that went away needs no answer.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Store) serveKey(w http.ResponseWriter, key string) {
+	s.mu.Lock()
+	s.expire()
+	item, known := s.items[key]
+	s.mu.Unlock()
+	if !known {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, http.StatusOK, item)
+}
+
+func (s *Store) serveRange(w http.ResponseWriter, prefix, after string) {
+	s.mu.Lock()
+	s.expire()
+	page := wire.Page{CurrentRev: s.rev}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			page.Items = append(page.Items, item)
+		}
+	}
+	s.mu.Unlock()
+	slices.SortFunc(page.Items, func(a, b wire.Item) int { return cmp.Compare(a.Key, b.Key) })
+	if len(page.Items) > pageSize {
+		page.Items, page.HasMore = page.Items[:pageSize], true
+	}
+	answer(w, http.StatusOK, page)
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get(wire.QueryAfter), 10, 64)
+	millis, waitErr := strconv.Atoi(query.Get(wire.QueryWait))
+	if err != nil || waitErr != nil || millis > 30_000 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timeout := time.After(time.Duration(millis) * time.Millisecond)
+	for {
+		page, gone, changed := s.look(query.Get(wire.QueryPrefix), after)
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(page.Events) > 0 {
+			answer(w, http.StatusOK, page)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			answer(w, http.StatusOK, page)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) look(prefix string, after uint64) (wire.Page, bool, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	page := wire.Page{CurrentRev: s.rev}
+	if after < s.forgotten {
+		return page, true, s.changed
+	}
+	for _, event := range s.history {
+		if !s.deaf && event.Rev > after && strings.HasPrefix(event.Key, prefix) {
+			page.Events = append(page.Events, event)
+		}
+	}
+	return page, false, s.changed
+}
+
+func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request) {
+	var body wire.Transaction
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || len(body.Expected)+len(body.Puts)+len(body.Delete) > wire.MaxExpected {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	status, committed := s.commit(body)
+	s.mu.Unlock()
+	answer(w, status, committed)
+}
+
+func (s *Store) commit(body wire.Transaction) (int, wire.Committed) {
+	s.expire()
+	var items []wire.Item
+	failed := false
+	for _, expected := range body.Expected {
+		item, known := s.items[expected.Key]
+		failed = failed || item.Rev != expected.Rev
+		if known {
+			items = append(items, item)
+		}
+	}
+	if failed {
+		return http.StatusPreconditionFailed, wire.Committed{Items: items}
+	}
+	for _, put := range body.Puts {
+		if strings.HasPrefix(put.Key, wire.PrefixOperators) {
+			return http.StatusForbidden, wire.Committed{}
+		}
+		if put.Lease != 0 && s.leases[put.Lease] == nil {
+			return http.StatusNotFound, wire.Committed{}
+		}
+	}
+	for _, put := range body.Puts {
+		s.put(put)
+	}
+	for _, key := range body.Delete {
+		s.delete(key)
+	}
+	return http.StatusOK, wire.Committed{Rev: s.rev}
+}
+
+func (s *Store) put(put wire.Put) {
+	s.rev++
+	item := wire.Item{Key: put.Key, Value: put.Value, Rev: s.rev, CreatedRev: s.rev, Lease: put.Lease}
+	if before, known := s.items[put.Key]; known {
+		item.CreatedRev = before.CreatedRev
+	}
+	s.items[put.Key] = item
+	s.remember(item)
+}
+
+func (s *Store) delete(key string) {
+	if _, known := s.items[key]; known {
+		s.rev++
+		delete(s.items, key)
+		s.remember(wire.Item{Key: key, Rev: s.rev, Tombstone: true})
+	}
+}
+
+func (s *Store) remember(event wire.Item) {
+	s.history = append(s.history, event)
+	if len(s.history) > historySize {
+		s.forgotten = s.history[0].Rev
+		s.history = s.history[1:]
+	}
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire ends the leases that have run out.
+func (s *Store) expire() {
+	now := time.Now()
+	for id, lease := range s.leases {
+		if now.After(lease.end) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *Store) endLease(id uint64) {
+	delete(s.leases, id)
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.delete(key)
+		}
+	}
+}
+
+func (s *Store) serveLease(w http.ResponseWriter, r *http.Request) {
+	var body wire.LeaseTerms
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.TTLMillis < 1000 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ttl := time.Duration(body.TTLMillis) * time.Millisecond
+	s.mu.Lock()
+	s.nextLease++
+	body.Lease = s.nextLease
+	s.leases[body.Lease] = &lease{ttl: ttl, end: time.Now().Add(ttl)}
+	s.mu.Unlock()
+	answer(w, http.StatusOK, body)
+}
+
+func (s *Store) serveKeepAlive(w http.ResponseWriter, id string) {
+	number, err := strconv.ParseUint(id, 10, 64)
+	s.mu.Lock()
+	s.expire()
+	held := s.leases[number]
+	if held != nil {
+		held.end = time.Now().Add(held.ttl)
+	}
+	s.mu.Unlock()
+	if err != nil || held == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, http.StatusOK, wire.LeaseTerms{TTLMillis: held.ttl.Milliseconds()})
+}
+
+func (s *Store) serveLeaseEnd(w http.ResponseWriter, id string) {
+	number, err := strconv.ParseUint(id, 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil || s.leases[number] == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.endLease(number)
+	answer(w, http.StatusOK, struct{}{})
+}
