Fuzz steering and the door together, and test adapter and control

Cause: the rule that no flow is given up while its target holds it was proved by hand-picked cases only. Change: internal/flowsteer/world_test.go drives three balancers and five agents with lost, late and repeated messages, planned and unplanned restarts, and route changes, against the flows that targets really hold. Adapter, roster, knowledge, settings and datagrams have tests; decoders have fuzz targets. Faults found on the way were the world's own (idle flows, data before a flow is open).

--- /dev/null
+++ b/internal/flowsteer/world_test.go
@@ -0,0 +1,433 @@
+package flowsteer_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/balsamlink/balsamlink/internal/door"
+	"github.com/balsamlink/balsamlink/internal/flow"
+	"github.com/balsamlink/balsamlink/internal/flowsteer"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/routing"
+)
+
+// touchTime is how long a node counts as disturbed after an unplanned end.
+const touchTime = 4 * time.Second
+
+// idleTime is how long a flow may rest before anyone may discard it.
+const idleTime = 15 * time.Second
+
+// worldTarget is the oracle for one target: the flows that it really holds, and
+// when each had a packet last.
+type worldTarget struct {
+	born  int64
+	holds map[flow.Key]bool
+	used  map[flow.Key]model.Instant
+}
+
+// worldAgent is an agent with its target. The door is nil while it is down.
+type worldAgent struct {
+	vm         netip.Addr
+	service    model.Service
+	door       *door.Door
+	target     worldTarget
+	sequence   uint64
+	heard      model.Instant
+	restarting bool
+	// disturbed is the agent's last unplanned end.
+	disturbed model.Instant
+}
+
+// letter is a message between a balancer and an agent.
+type letter struct {
+	toAgent  bool
+	agent    int
+	balancer int
+	packet   flow.Packet
+	search   bool
+	reason   door.Reason
+	claim    bool
+	sent     model.Instant
+}
+
+// world is balancers and agents whose messages are delayed, lost and repeated.
+type world struct {
+	t         *rapid.T
+	now       model.Instant
+	state     *routing.State
+	agents    []*worldAgent
+	balancers []*flowsteer.Table
+	letters   []letter
+	flows     []flow.Key
+	resets    map[flow.Key]bool
+	opened    map[flow.Key]bool
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, now: start, resets: map[flow.Key]bool{}, opened: map[flow.Key]bool{}, balancers: make([]*flowsteer.Table, 3)}
+	w.route(feed)
+	for n := range 5 {
+		service := feed
+		if n >= 3 {
+			service = files
+		}
+		agent := &worldAgent{vm: vm(n + 1), service: service}
+		w.agents = append(w.agents, agent)
+		w.startTarget(agent)
+		w.startAgent(agent)
+	}
+	for n := range w.balancers {
+		w.balancers[n] = w.newBalancer()
+	}
+	w.pass(500 * time.Millisecond)
+	return w
+}
+
+func (w *world) route(service model.Service) {
+	w.state = &routing.State{Out: map[model.Zone]bool{}, Config: &routing.Config{
+		IdleTimeout: idleTime, Services: map[model.Service]*routing.Service{},
+		Routes: map[flow.Endpoint]*routing.Route{
+			feedAddress: {Address: feedAddress, Choices: []routing.Choice{{Service: service, Weight: 1}}},
+		},
+	}}
+}
+
+func (w *world) newBalancer() *flowsteer.Table {
+	return flowsteer.NewTable(flowsteer.Limits{Flows: 1000, Lifetime: time.Minute}, w.now)
+}
+
+func (w *world) startTarget(a *worldAgent) {
+	a.target = worldTarget{born: int64(w.now), holds: map[flow.Key]bool{}, used: map[flow.Key]model.Instant{}}
+	a.sequence = 0
+}
+
+func (w *world) startAgent(a *worldAgent) {
+	a.door = door.New(door.Config{
+		Service: a.service, Address: targetAddress(a.vm), Heartbeat: 400 * time.Millisecond, ColdFactor: 1.5, ColdSlack: 5, MaxFlows: 1000,
+	}, w.now)
+	a.restarting = false
+	w.announce(a)
+}
+
+func targetAddress(vm netip.Addr) netip.AddrPort { return netip.AddrPortFrom(vm, 8080) }
+
+func (w *world) announce(a *worldAgent) {
+	a.sequence++
+	_, err := a.door.Announce(w.now, door.Announcement{
+		ID: "i", Born: a.target.born, Sequence: a.sequence, Service: a.service, Address: targetAddress(a.vm), Slots: 50,
+	})
+	require.NoError(w.t, err)
+	w.giveUp(a)
+}
+
+// pass lets time go by in which running agents beat, report and are seen.
+func (w *world) pass(d time.Duration) {
+	for end := w.now.Add(d); w.now < end; {
+		w.now = w.now.Add(100 * time.Millisecond)
+		for _, a := range w.agents {
+			for key, used := range a.target.used {
+				if w.now.Sub(used) > idleTime-time.Second {
+					delete(a.target.holds, key)
+				}
+			}
+			if a.door != nil {
+				a.heard = w.now
+				w.announce(a)
+				a.door.Expire(w.now, idleTime)
+			}
+		}
+		w.show()
+		for n := range w.balancers {
+			for _, loss := range w.balancers[n].Expire(w.now) {
+				w.reset(loss.Key, loss.Verdict.Reason.String())
+			}
+		}
+	}
+}
+
+func (w *world) show() {
+	view := &flowsteer.View{
+		Zone: here, State: w.state, Proven: w.now, Listed: true,
+		Agents: map[netip.Addr]*flowsteer.Agent{}, ByService: map[model.Service][]*flowsteer.Agent{},
+	}
+	for _, a := range w.agents {
+		seen := &flowsteer.Agent{
+			VM: a.vm, Zone: here, Service: a.service, State: flowsteer.AgentOpen, Heard: a.heard, Interval: 200 * time.Millisecond,
+			Slots: 50, Room: 500, Met: true,
+		}
+		if a.restarting {
+			seen.State = flowsteer.AgentRestarting
+		}
+		view.Agents[a.vm] = seen
+		view.ByService[a.service] = append(view.ByService[a.service], seen)
+	}
+	for n := range w.balancers {
+		w.balancers[n].SetView(view, nil)
+	}
+}
+
+// reset requires that a flow that the system gives up has ended at its target, or
+// that its agent was disturbed.
+func (w *world) reset(key flow.Key, why string) {
+	w.resets[key] = true
+	for _, a := range w.agents {
+		if a.target.holds[key] && (a.disturbed == 0 || w.now.Sub(a.disturbed) > touchTime) {
+			w.t.Fatalf("flow %s was given up (%s) while its target holds it", key, why)
+		}
+	}
+}
+
+func (w *world) fromClient(balancer int, p flow.Packet) {
+	w.carryOut(balancer, p, w.balancers[balancer].Client(w.now, p))
+}
+
+func (w *world) carryOut(balancer int, p flow.Packet, verdict flowsteer.Verdict) {
+	switch verdict.Action {
+	case flowsteer.ActionForward:
+		w.letters = append(w.letters, letter{toAgent: true, agent: w.agentAt(verdict.Agent), balancer: balancer, packet: p, sent: w.now})
+	case flowsteer.ActionSearch:
+		for n, a := range w.agents {
+			if a.vm != verdict.Agent {
+				w.letters = append(w.letters, letter{toAgent: true, agent: n, balancer: balancer, packet: p, search: true, sent: w.now})
+			}
+		}
+	case flowsteer.ActionReset:
+		w.reset(p.FromClient(), verdict.Reason.String())
+	}
+}
+
+func (w *world) agentAt(vm netip.Addr) int {
+	for n, a := range w.agents {
+		if a.vm == vm {
+			return n
+		}
+	}
+	w.t.Fatalf("no agent at %s", vm)
+	return 0
+}
+
+func (w *world) deliver(l letter) {
+	if !l.toAgent {
+		table := w.balancers[l.balancer]
+		switch {
+		case l.claim:
+			table.Claimed(w.now, l.packet.FromClient(), w.agents[l.agent].vm)
+		case l.packet.Opening():
+			w.carryOut(l.balancer, l.packet, table.Refused(w.now, l.packet, w.agents[l.agent].vm, l.reason))
+		default:
+			w.carryOut(l.balancer, l.packet, table.Denied(w.now, l.packet, w.agents[l.agent].vm))
+		}
+		return
+	}
+	a := w.agents[l.agent]
+	if a.door == nil {
+		return
+	}
+	if l.packet.Opening() {
+		w.open(a, l)
+		return
+	}
+	w.carry(a, l)
+}
+
+// open hands an opening packet to the door. The client's acknowledgement follows
+// at once, so that a flow that enters is open.
+func (w *world) open(a *worldAgent, l letter) {
+	key := l.packet.FromClient()
+	reason := a.door.Open(w.now, w.state, door.Opening{Key: key, Balancer: vm(l.balancer + 100)})
+	for _, opening := range a.door.Admit(w.now, w.state) {
+		require.True(w.t, w.state.Config.Routes[feedAddress].Allows(a.service), "a flow reaches a service that its route does not name")
+		if w.held(opening.Key) || w.resets[opening.Key] {
+			// A copy opens half a flow: the client stays with the first.
+			continue
+		}
+		a.target.holds[opening.Key], w.opened[opening.Key] = true, true
+		w.answer(a, l.balancer, opening.Key)
+	}
+	if reason != door.ReasonNone {
+		w.back(l, reason, false)
+	}
+}
+
+func (w *world) held(key flow.Key) bool {
+	for _, a := range w.agents {
+		if a.target.holds[key] {
+			return true
+		}
+	}
+	return false
+}
+
+// answer is a packet of the target; the balancer that forwarded the flow hears of
+// it.
+func (w *world) answer(a *worldAgent, balancer int, key flow.Key) {
+	a.target.used[key] = w.now
+	if a.door.Sent(w.now, flow.Packet{Source: key.Service, Destination: key.Client, Flags: flow.Ack, Length: 10}) {
+		w.letters = append(w.letters, letter{
+			agent: w.agentAt(a.vm), balancer: balancer, packet: flow.Packet{Source: key.Client, Destination: key.Service, Flags: flow.Ack},
+			claim: true, sent: w.now,
+		})
+	}
+}
+
+func (w *world) back(l letter, reason door.Reason, claim bool) {
+	l.toAgent, l.reason, l.claim, l.sent = false, reason, claim, w.now
+	w.letters = append(w.letters, l)
+}
+
+func (w *world) carry(a *worldAgent, l letter) {
+	key := l.packet.FromClient()
+	switch a.door.Packet(w.now, l.packet, vm(l.balancer+100), l.search) {
+	case door.Deliver, door.Probe:
+		if !a.target.holds[key] {
+			a.door.Returned(key)
+			w.back(l, door.ReasonUnknownFlow, false)
+			return
+		}
+		if l.search {
+			w.back(l, door.ReasonNone, true)
+		}
+		w.answer(a, l.balancer, key)
+	case door.NotHere:
+		if a.target.holds[key] {
+			w.t.Fatalf("agent %s denies flow %s, which its target holds", a.vm, key)
+		}
+		w.back(l, door.ReasonUnknownFlow, false)
+	case door.Dead:
+		w.giveUp(a)
+	}
+}
+
+func (w *world) giveUp(a *worldAgent) {
+	for _, loss := range a.door.Losses() {
+		w.reset(loss.Key, "target ended")
+	}
+}
+
+// settle delivers all letters, and all that they cause.
+func (w *world) settle() {
+	for rounds := 0; len(w.letters) > 0 && rounds < 10_000; rounds++ {
+		l := w.letters[0]
+		w.letters = w.letters[1:]
+		w.deliver(l)
+	}
+}
+
+// Whatever is lost, late or repeated, and whichever nodes restart, no flow is
+// given up while its target holds it, no flow opens at a service that its route
+// does not name, and once all is calm every flow is found.
+func TestFlowsAreFoundOrTrulyGone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		draw := func(limit int, what string) int { return rapid.IntRange(0, limit-1).Draw(t, what) }
+		t.Repeat(map[string]func(*rapid.T){
+			"open": func(*rapid.T) {
+				p := opening(len(w.flows))
+				w.flows = append(w.flows, p.FromClient())
+				w.fromClient(draw(len(w.balancers), "balancer"), p)
+			},
+			"data": func(*rapid.T) {
+				// A client sends data only once its flow is open.
+				if len(w.flows) > 0 {
+					if n := draw(len(w.flows), "flow"); w.opened[w.flows[n]] {
+						w.fromClient(draw(len(w.balancers), "balancer"), data(n))
+					}
+				}
+			},
+			"deliver": func(*rapid.T) {
+				if len(w.letters) > 0 {
+					n := draw(len(w.letters), "letter")
+					l := w.letters[n]
+					w.letters = append(w.letters[:n:n], w.letters[n+1:]...)
+					w.deliver(l)
+				}
+			},
+			"settle": func(*rapid.T) { w.settle() },
+			"lose": func(*rapid.T) {
+				if len(w.letters) > 0 {
+					n := draw(len(w.letters), "letter")
+					w.letters = append(w.letters[:n:n], w.letters[n+1:]...)
+				}
+			},
+			"repeat": func(*rapid.T) {
+				if len(w.letters) > 0 {
+					w.letters = append(w.letters, w.letters[draw(len(w.letters), "letter")])
+				}
+			},
+			"pass": func(*rapid.T) { w.pass(time.Duration(1+draw(8, "tenths")) * 100 * time.Millisecond) },
+			"route": func(*rapid.T) {
+				w.settle()
+				w.route(rapid.SampledFrom([]model.Service{feed, files}).Draw(t, "service"))
+				w.show()
+			},
+			"replace balancer": func(*rapid.T) {
+				w.balancers[draw(len(w.balancers), "balancer")] = w.newBalancer()
+				w.show()
+			},
+			"stop agent": func(*rapid.T) {
+				a := w.agents[draw(len(w.agents), "agent")]
+				if a.door == nil {
+					return
+				}
+				a.door = nil
+				if a.restarting = rapid.Bool().Draw(t, "planned"); !a.restarting {
+					a.disturbed = w.now
+				}
+				w.show()
+			},
+			"start agent": func(*rapid.T) {
+				for _, a := range w.agents {
+					if a.door == nil {
+						if !a.restarting {
+							a.disturbed = w.now
+						}
+						w.startAgent(a)
+					}
+				}
+				w.pass(100 * time.Millisecond)
+			},
+			"restart target": func(*rapid.T) {
+				a := w.agents[draw(len(w.agents), "agent")]
+				w.now = w.now.Add(time.Millisecond)
+				w.startTarget(a)
+				if a.door != nil {
+					w.announce(a)
+				}
+			},
+		})
+		w.requireAllFound()
+	})
+}
+
+func (w *world) requireAllFound() {
+	for _, a := range w.agents {
+		if a.door == nil {
+			w.startAgent(a)
+		}
+	}
+	w.pass(6 * time.Second)
+	w.letters = nil
+	for n, key := range w.flows {
+		if !w.held(key) || w.resets[key] {
+			continue
+		}
+		for balancer := range w.balancers {
+			for range 3 {
+				w.pass(300 * time.Millisecond)
+				w.fromClient(balancer, data(n))
+				w.settle()
+			}
+			if !w.held(key) {
+				// It has rested for too long.
+				break
+			}
+			verdict := w.balancers[balancer].Client(w.now, data(n))
+			require.Equal(w.t, flowsteer.ActionForward, verdict.Action)
+			require.True(w.t, w.agents[w.agentAt(verdict.Agent)].target.holds[key], "flow %s is sent to another target", key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/packetnode/packetnode_test.go
@@ -0,0 +1,287 @@
+package packetnode
+
+import (
+	"encoding/json"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/balsamlink/balsamlink/internal/door"
+	"github.com/balsamlink/balsamlink/internal/flow"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/platform"
+	"github.com/balsamlink/balsamlink/internal/routing"
+)
+
+const start = model.Instant(time.Hour)
+
+func vm(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}) }
+
+func peer(n int, role model.Role) Peer { return Peer{VM: vm(n), Role: role, Zone: "a"} }
+
+func beat(n int, role model.Role, incarnation, sequence uint64) *Beat {
+	return &Beat{
+		Peer: peer(n, role), Incarnation: incarnation, Sequence: sequence, State: StateOpen, IntervalMillis: 200,
+	}
+}
+
+func TestRosterKeepsTheNewestOfEachNode(t *testing.T) {
+	r := NewRoster(peer(1, model.RoleBalancer))
+	require.True(t, r.Add(start, peer(2, model.RoleAgent)))
+	require.False(t, r.Add(start, peer(2, model.RoleAgent)))
+	require.False(t, r.Add(start, peer(1, model.RoleBalancer)), "itself")
+	event := r.Beat(start, beat(2, model.RoleAgent, 7, 5))
+	require.True(t, event.Joined)
+	require.Nil(t, r.Beat(start, beat(2, model.RoleAgent, 7, 5)).Node, "repeated")
+	require.Nil(t, r.Beat(start, beat(2, model.RoleAgent, 7, 4)).Node, "late")
+	event = r.Beat(start, beat(2, model.RoleAgent, 3, 1))
+	require.True(t, event.Joined, "a new incarnation's number need not be larger")
+	require.Nil(t, r.Beat(start, beat(2, model.RoleAgent, 7, 6)).Node, "a former incarnation does not come back")
+	draining := beat(2, model.RoleAgent, 3, 2)
+	draining.State = StateClosed
+	require.True(t, r.Beat(start, draining).Turned)
+	require.Nil(t, r.Beat(start, beat(1, model.RoleBalancer, 1, 1)).Node, "itself")
+}
+
+func TestRosterForgetsAndIsBounded(t *testing.T) {
+	r := NewRoster(peer(1, model.RoleBalancer))
+	r.Beat(start, beat(2, model.RoleAgent, 1, 1))
+	gone := beat(3, model.RoleAgent, 1, 1)
+	gone.State = StateGone
+	r.Beat(start, gone)
+	require.Len(t, r.Peers(), 1, "a node that has ended is not passed on")
+	require.Len(t, r.Forget(start.Add(11*time.Second)), 1)
+	require.Len(t, r.Forget(start.Add(61*time.Second)), 1)
+	for n := range 2 * maxNodes {
+		r.Add(start, Peer{VM: netip.AddrFrom4([4]byte{11, byte(n >> 16), byte(n >> 8), byte(n)}), Role: model.RoleAgent})
+	}
+	require.Len(t, r.Nodes(), maxNodes)
+}
+
+func TestNodesThatDoNotAnswerAreGreetedLessAndLess(t *testing.T) {
+	r := NewRoster(peer(1, model.RoleAgent))
+	r.Add(start, peer(2, model.RoleBalancer))
+	r.Add(start, peer(3, model.RoleAgent))
+	hellos := 0
+	for now := start; now < start.Add(13*time.Second); now = now.Add(50 * time.Millisecond) {
+		r.Due(now, 200*time.Millisecond, func(node *Other, hello bool) {
+			require.Equal(t, vm(2), node.Peer.VM, "agents have nothing to tell each other")
+			require.True(t, hello)
+			hellos++
+		})
+	}
+	require.InDelta(t, 12+10, hellos, 2)
+}
+
+// One balancer asks the store for all; the next one takes over when it is gone.
+func TestOneBalancerAsksForAll(t *testing.T) {
+	r := NewRoster(peer(5, model.RoleBalancer))
+	require.Zero(t, r.Rank(start))
+	r.Beat(start, beat(3, model.RoleBalancer, 1, 1))
+	r.Beat(start, beat(9, model.RoleBalancer, 1, 1))
+	r.Beat(start, beat(2, model.RoleAgent, 1, 1))
+	require.Equal(t, 1, r.Rank(start))
+	require.Zero(t, r.Rank(start.Add(2*time.Second)))
+	require.Less(t, Interval(model.RoleBalancer, 0, 1), Interval(model.RoleBalancer, 1, 1))
+	require.Less(t, Interval(model.RoleBalancer, 100, 1), Interval(model.RoleAgent, 0, 1))
+	require.Less(t, Interval(model.RoleAgent, 0, 399), 3*time.Second, "a change must be in force within 3 s")
+}
+
+// world is a store of operators' documents and nodes that learn of it in any
+// order, from the store or from each other, late or not at all.
+func TestKnowledgeNeverGoesBackAndIsNeverProvenTooEarly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type version struct {
+			document routing.Document
+			state    routing.State
+			at       model.Instant
+		}
+		now := start
+		history := []version{}
+		write := func() {
+			n := len(history) + 1
+			history = append(history, version{
+				document: routing.Document{AsOf: platform.Version(2 * n), Entries: []platform.Entry{{Key: "c", Version: platform.Version(2 * n)}}},
+				state:    routing.State{Config: &routing.Config{Version: uint64(n)}},
+				at:       now,
+			})
+		}
+		write()
+		nodes := make([]Knowledge, 3)
+		type letter struct {
+			to    int
+			proof Proof
+			sent  model.Instant
+		}
+		var letters []letter
+		step := func() { now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond) }
+		pick := func() int { return rapid.IntRange(0, len(nodes)-1).Draw(t, "node") }
+		adopt := func(n int, v version, asked model.Instant) {
+			before, _ := nodes[n].State()
+			nodes[n].Adopt(v.document, v.state, asked)
+			after, _ := nodes[n].State()
+			if before != nil {
+				require.GreaterOrEqual(t, after.Config.Version, before.Config.Version)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(*rapid.T) { step(); write() },
+			"read":  func(*rapid.T) { step(); adopt(pick(), history[len(history)-1], now) },
+			"late read": func(t *rapid.T) {
+				asked := now
+				seen := history[len(history)-1]
+				step()
+				write()
+				step()
+				adopt(pick(), seen, asked)
+			},
+			"verify": func(*rapid.T) {
+				n := pick()
+				if state, _ := nodes[n].State(); state != nil && state.Config.Version == uint64(len(history)) {
+					asked := now
+					step()
+					nodes[n].Prove(asked)
+				}
+			},
+			"send": func(*rapid.T) {
+				from, to := pick(), pick()
+				letters = append(letters, letter{to: to, proof: nodes[from].Proof(now), sent: now})
+			},
+			"deliver": func(t *rapid.T) {
+				if len(letters) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(letters)-1).Draw(t, "letter")
+				l := letters[i]
+				// The age counts from when the letter was sent: what it took on its way
+				// is added by the receiver's clock in a real process only as the time
+				// of arrival, so the world delivers at once or not at all.
+				if l.sent == now {
+					nodes[l.to].Heard(l.proof, now.Add(-time.Duration(l.proof.AgeMillis)*time.Millisecond))
+				}
+				letters = append(letters[:i], letters[i+1:]...)
+			},
+			"": func(t *rapid.T) {
+				for n := range nodes {
+					state, proven := nodes[n].State()
+					if state == nil {
+						continue
+					}
+					if next := int(state.Config.Version); next < len(history) {
+						require.LessOrEqual(t, proven, history[next].at.Add(time.Millisecond), "proven after a newer version was written")
+					}
+				}
+			},
+		})
+	})
+}
+
+func TestKnowledgeAsksForWhatOthersKnow(t *testing.T) {
+	var k Knowledge
+	require.False(t, k.Heard(Proof{}, start))
+	require.True(t, k.Heard(Proof{AsOf: 5, Print: 1}, start))
+	k.Adopt(routing.Document{AsOf: 5}, routing.State{Config: &routing.Config{Version: 3}}, start)
+	print := k.Proof(start).Print
+	require.False(t, k.Heard(Proof{AsOf: 9, Print: print}, start.Add(time.Second)), "the same state, proven later")
+	require.Equal(t, time.Duration(0), k.Age(start.Add(time.Second)))
+	require.EqualValues(t, 9, k.Document().AsOf)
+	require.False(t, k.Heard(Proof{AsOf: 8, Print: print + 1}, start.Add(2*time.Second)), "an older state")
+	require.True(t, k.Heard(Proof{AsOf: 10, Print: print + 1}, start))
+	require.False(t, k.Adopt(routing.Document{AsOf: 11, Entries: []platform.Entry{{Key: "x"}}}, routing.State{}, start), "a state without a configuration")
+}
+
+func TestDatagramsBetweenNodes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		packet := rapid.SliceOfN(rapid.Byte(), 0, 1300).Draw(t, "packet")
+		forward := Forward{Search: rapid.Bool().Draw(t, "search"), AsOf: platform.Version(rapid.Uint64().Draw(t, "as of")), Packet: packet}
+		parsed, err := ParseForward(AppendForward(nil, forward))
+		require.NoError(t, err)
+		require.Equal(t, forward.Search, parsed.Search)
+		require.Equal(t, forward.AsOf, parsed.AsOf)
+		require.Equal(t, string(packet), string(parsed.Packet))
+		reason := door.Reason(rapid.IntRange(0, door.ReasonCount-1).Draw(t, "reason"))
+		returned, err := ParseReturn(AppendReturn(nil, Return{Reason: reason, AsOf: forward.AsOf, Packet: packet}))
+		require.NoError(t, err)
+		require.Equal(t, reason, returned.Reason)
+		var keys []flow.Key
+		for range rapid.IntRange(0, MaxKeys).Draw(t, "keys") {
+			keys = append(keys, flow.Key{Client: flow.Endpoint{Port: rapid.Uint16().Draw(t, "port")}})
+		}
+		list, err := ParseKeys(AppendKeys(nil, KindClaims, keys))
+		require.NoError(t, err)
+		require.Equal(t, len(keys), len(list))
+	})
+}
+
+func FuzzDatagrams(f *testing.F) {
+	valid, err := encode(KindBeat, beat(2, model.RoleAgent, 1, 1))
+	require.NoError(f, err)
+	f.Add(valid)
+	f.Add(AppendForward(nil, Forward{Packet: []byte("x")}))
+	f.Add(AppendKeys(nil, KindClaims, []flow.Key{{}}))
+	f.Add([]byte{byte(KindPeers), 0x91, 0x94})
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		if len(datagram) == 0 {
+			return
+		}
+		// Whatever comes is decoded or refused; nothing panics.
+		_, _ = ParseForward(datagram)
+		_, _ = ParseReturn(datagram)
+		_, _ = ParseKeys(datagram)
+		_, _ = parseBeat(datagram)
+		_, _ = parsePeers(datagram)
+	})
+}
+
+func TestMalformedBeatsAreRefused(t *testing.T) {
+	bad := []func(b *Beat){
+		func(b *Beat) { b.Incarnation = 0 }, func(b *Beat) { b.State = stateCount }, func(b *Beat) { b.Peer.Role = 9 },
+		func(b *Beat) { b.Peer.VM = netip.IPv6Loopback() },
+	}
+	for _, change := range bad {
+		b := beat(2, model.RoleAgent, 1, 1)
+		change(b)
+		datagram, err := encode(KindBeat, b)
+		require.NoError(t, err)
+		_, err = parseBeat(datagram)
+		require.Error(t, err)
+	}
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	good := map[string]any{
+		"name": "lb-1", "vm": "10.0.0.1", "zone": "a", "zones": []string{"a", "b"}, "packets": "10.0.0.1:1", "readiness": "10.0.0.1:2",
+		"metrics": "10.0.0.1:3", "ports": []int{7720, 7735}, "seeds": []string{"10.0.0.2:4"}, "underlay": map[string]any{"plugin": "none"},
+		"memory_mb": 100, "grace_seconds": 6, "flow_lifetime_seconds": 60,
+		"target": map[string]any{
+			"service": "desk", "address": "10.0.0.1:5", "outbound": "10.0.0.1:6", "registration": "10.0.0.1:7", "heartbeat_ms": 1200,
+			"cold_factor": 1.5, "cold_slack": 5,
+		},
+	}
+	parse := func(key string, value any) error {
+		changed := map[string]any{}
+		for name, held := range good {
+			changed[name] = held
+		}
+		if key != "" {
+			changed[key] = value
+		}
+		text, err := json.Marshal(changed)
+		require.NoError(t, err)
+		_, err = ParseSettings(text)
+		return err
+	}
+	require.EqualError(t, parse("", nil), `packetnode: underlay.plugin: none; allowed: one of []`, "no plug-in is registered here")
+	for key, value := range map[string]any{
+		"name": "", "vm": "::1", "zone": "c", "packets": "10.0.0.1:0", "readiness": "", "ports": []int{5}, "seeds": []string{"10.0.0.1:0"},
+		"memory_mb": 0, "grace_seconds": -1, "log_level": "loud", "surplus": 1,
+		"target": map[string]any{"service": "", "address": "10.0.0.1:5", "outbound": "10.0.0.1:6", "registration": "10.0.0.1:7", "heartbeat_ms": 1},
+	} {
+		err := parse(key, value)
+		require.Error(t, err, key)
+		require.Contains(t, err.Error(), key)
+	}
+}
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -188,6 +189,8 @@
 func (d *discard) WriteHeader(int)                {}
 
 func wait(r *http.Request) {
+	// The end of the connection is only seen once the body has been read.
+	_, _ = io.Copy(io.Discard, r.Body)
 	select {
 	case <-r.Context().Done():
 	case <-time.After(silentTime):
