--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -167,6 +167,11 @@
 	return &Door{config: config, started: now, flows: map[flow.Key]*entry{}, waiting: map[flow.Key]*waiter{}}
 }
 
+// Limit replaces the bounds of a cold target and the time between heartbeats.
+func (d *Door) Limit(heartbeat time.Duration, coldFactor, coldSlack float64) {
+	d.config.Heartbeat, d.config.ColdFactor, d.config.ColdSlack = heartbeat, coldFactor, coldSlack
+}
+
 // Target returns what is known of the target.
 func (d *Door) Target() Target { return d.target }
 
--- a/internal/failure/packets_test.go
+++ b/internal/failure/packets_test.go
@@ -1,11 +1,13 @@
 package failure
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
 	"sync"
 	"sync/atomic"
@@ -351,6 +353,31 @@
 	requireUnharmed(t, s)
 }
 
+// A settings file may change with SIGHUP or without any signal. Settings that
+// are wrong change nothing.
+func TestPacketSettingsAreReloaded(t *testing.T) {
+	s := startSite(t, nil)
+	flows := openFlows(t, s, 10)
+	for _, node := range []*site.Node{s.Nodes("")[0], s.Nodes(desk)[0]} {
+		text, err := os.ReadFile(node.SettingsPath())
+		require.NoError(t, err)
+		logged := func(event string) func() bool {
+			return func() bool {
+				lines, err := os.ReadFile(node.LogPath())
+				require.NoError(t, err)
+				return bytes.Contains(lines, []byte("event="+event))
+			}
+		}
+		require.NoError(t, os.WriteFile(node.SettingsPath(), append([]byte(`{"log_level":"debug",`), text[1:]...), 0o644))
+		require.Eventually(t, logged("settings_reloaded"), apiece, 50*time.Millisecond)
+		require.NoError(t, os.WriteFile(node.SettingsPath(), []byte(`{"vm":7}`), 0o644))
+		require.NoError(t, s.Signal(node, syscall.SIGHUP))
+		require.Eventually(t, logged("settings_refused"), apiece, 50*time.Millisecond)
+	}
+	serveAll(t, flows)
+	requireUnharmed(t, s)
+}
+
 func TestPacketPathServesMixedLoad(t *testing.T) {
 	for _, hash := range []site.Hash{site.HashSteady, site.HashMod} {
 		t.Run(string(hash), func(t *testing.T) {
--- a/internal/packetagent/agent.go
+++ b/internal/packetagent/agent.go
@@ -44,31 +44,31 @@
 
 // Run runs an agent until it is told to end.
 func Run(ctx context.Context, settings packetnode.Settings, log *logrus.Entry) error {
-	base, part, err := assemble(settings, log)
+	base, own, err := assemble(settings, log)
 	if err != nil {
 		return err
 	}
-	return base.Run(ctx, part)
+	return base.Run(ctx, own.part(), own.apply)
 }
 
 // Check checks settings without opening anything.
 func Check(settings packetnode.Settings, log *logrus.Entry) error {
-	base, part, err := assemble(settings, log)
+	base, own, err := assemble(settings, log)
 	if err != nil {
 		return err
 	}
-	return base.Check(part)
+	return base.Check(own.part())
 }
 
-func assemble(settings packetnode.Settings, log *logrus.Entry) (*packetnode.Base, kernel.Part, error) {
+func assemble(settings packetnode.Settings, log *logrus.Entry) (*packetnode.Base, *agent, error) {
 	if settings.Target == nil {
-		return nil, kernel.Part{}, kernel.Usage(Error.New("target: missing; allowed: the target beside the agent"))
+		return nil, nil, kernel.Usage(Error.New("target: missing; allowed: the target beside the agent"))
 	}
 	base, err := packetnode.NewBase(settings, log)
 	if err != nil {
-		return nil, kernel.Part{}, err
+		return nil, nil, err
 	}
-	return base, kernel.Part{Name: "agent", Module: &agent{base: base, settings: settings, log: log}}, nil
+	return base, &agent{base: base, settings: settings, log: log}, nil
 }
 
 // agent is the agent's own part of the process.
@@ -95,6 +95,20 @@
 	claims  claims
 }
 
+func (a *agent) part() kernel.Part { return kernel.Part{Name: "agent", Module: a} }
+
+// apply takes settings that have changed while the process runs.
+func (a *agent) apply(settings packetnode.Settings) {
+	if a.node == nil || settings.Target == nil {
+		return
+	}
+	a.node.Apply(settings)
+	target := settings.Target
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.door.Limit(target.Heartbeat(), target.ColdFactor, target.ColdSlack)
+}
+
 // view is what traffic needs of the control state. It is immutable.
 type view struct {
 	state     *routing.State
--- a/internal/packetlb/balancer.go
+++ b/internal/packetlb/balancer.go
@@ -54,31 +54,31 @@
 
 // Run runs a balancer until it is told to end.
 func Run(ctx context.Context, settings packetnode.Settings, log *logrus.Entry) error {
-	base, part, err := assemble(settings, log)
+	base, own, err := assemble(settings, log)
 	if err != nil {
 		return err
 	}
-	return base.Run(ctx, part)
+	return base.Run(ctx, own.part(), own.apply)
 }
 
 // Check checks settings without opening anything.
 func Check(settings packetnode.Settings, log *logrus.Entry) error {
-	base, part, err := assemble(settings, log)
+	base, own, err := assemble(settings, log)
 	if err != nil {
 		return err
 	}
-	return base.Check(part)
+	return base.Check(own.part())
 }
 
-func assemble(settings packetnode.Settings, log *logrus.Entry) (*packetnode.Base, kernel.Part, error) {
+func assemble(settings packetnode.Settings, log *logrus.Entry) (*packetnode.Base, *balancer, error) {
 	if settings.Target != nil {
-		return nil, kernel.Part{}, kernel.Usage(Error.New("target: present; allowed: none, since a balancer has no target"))
+		return nil, nil, kernel.Usage(Error.New("target: present; allowed: none, since a balancer has no target"))
 	}
 	base, err := packetnode.NewBase(settings, log)
 	if err != nil {
-		return nil, kernel.Part{}, err
+		return nil, nil, err
 	}
-	return base, kernel.Part{Name: "balancer", Module: &balancer{base: base, settings: settings, log: log}}, nil
+	return base, &balancer{base: base, settings: settings, log: log}, nil
 }
 
 // balancer is the balancer's own part of the process.
@@ -110,6 +110,15 @@
 	table *flowsteer.Table
 }
 
+func (b *balancer) part() kernel.Part { return kernel.Part{Name: "balancer", Module: b} }
+
+// apply takes settings that have changed while the process runs.
+func (b *balancer) apply(settings packetnode.Settings) {
+	if b.node != nil {
+		b.node.Apply(settings)
+	}
+}
+
 // published is what traffic needs of the control state. It is immutable.
 type published struct {
 	view   *flowsteer.View
--- a/internal/packetnode/node.go
+++ b/internal/packetnode/node.go
@@ -227,6 +227,11 @@
 	n.Announce()
 }
 
+// Apply takes changed settings: the seeds.
+func (n *Node) Apply(settings Settings) {
+	n.Do(func(model.Instant) { n.config.Settings.Seeds = settings.Seeds })
+}
+
 // Announce tells the other nodes at once what has changed.
 func (n *Node) Announce() { n.Do(n.beatAll) }
 
--- a/internal/packetnode/process.go
+++ b/internal/packetnode/process.go
@@ -51,8 +51,12 @@
 	return &Base{Settings: settings, Underlay: edge, Counters: counters, Log: log, part: part}, nil
 }
 
-// Run runs a process with its own part until it is told to end.
-func (b *Base) Run(ctx context.Context, own kernel.Part) error {
+// Run runs a process with its own part until it is told to end. Settings that
+// change while it runs are handed to apply.
+func (b *Base) Run(ctx context.Context, own kernel.Part, apply func(Settings)) error {
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go b.watchSettings(watching, apply)
 	debug.SetMemoryLimit(int64(memoryShare * float64(b.Settings.MemoryMegabytes<<20)))
 	b.Log.WithFields(logrus.Fields{
 		"node": b.Settings.Name, "vm": b.Settings.VM, "zone": b.Settings.Zone, "part": own.Name,
--- /dev/null
+++ b/internal/packetnode/reload.go
@@ -0,0 +1,79 @@
+package packetnode
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// reloadInterval is the time between two looks at the settings file, which may
+// change without a signal.
+const reloadInterval = 2 * time.Second
+
+// watchSettings applies the settings anew when SIGHUP comes or the file changes.
+// Settings that don't pass the checks change nothing.
+func (b *Base) watchSettings(ctx context.Context, apply func(Settings)) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	clock := time.NewTicker(reloadInterval)
+	defer clock.Stop()
+	text, _ := os.ReadFile(b.Settings.path)
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			signalled = true
+		case <-clock.C:
+		}
+		next, err := os.ReadFile(b.Settings.path)
+		if err != nil {
+			b.Log.WithError(err).Warn("settings_unreadable")
+			continue
+		}
+		if !signalled && string(next) == string(text) {
+			continue
+		}
+		text = next
+		b.reload(signalled, apply)
+	}
+}
+
+func (b *Base) reload(signalled bool, apply func(Settings)) {
+	log := b.Log.WithField("signalled", signalled)
+	next, err := LoadSettings(b.Settings.path)
+	if err == nil {
+		err = b.Underlay.Reload(next.Underlay.Settings)
+	}
+	if err != nil {
+		log.WithError(err).Error("settings_refused")
+		return
+	}
+	if level, err := logrus.ParseLevel(next.LogLevel); err == nil {
+		b.Log.Logger.SetLevel(level)
+	}
+	apply(next)
+	log.WithField("changed", changedFields(b.Settings, next)).Info("settings_reloaded")
+	b.Settings = next
+}
+
+// changedFields names the settings that differ. Addresses of the process's own
+// are those of its start; a change of them is in force after a restart.
+func changedFields(before, after Settings) []string {
+	var changed []string
+	a, b := reflect.ValueOf(before), reflect.ValueOf(after)
+	for i := range a.NumField() {
+		field := a.Type().Field(i)
+		if field.IsExported() && !reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()) {
+			changed = append(changed, field.Tag.Get("json"))
+		}
+	}
+	return changed
+}
--- a/internal/packetnode/settings.go
+++ b/internal/packetnode/settings.go
@@ -57,6 +57,9 @@
 	FlowLifetimeSeconds float64 `json:"flow_lifetime_seconds"`
 	// Target is the target beside an agent; balancers have none.
 	Target *Target `json:"target,omitempty"`
+
+	// path is the file that the settings were read from.
+	path string
 }
 
 // Underlay names the plug-in for the platform with its settings.
@@ -115,6 +118,7 @@
 	if err != nil {
 		return Settings{}, Error.New("%s: %w", path, err)
 	}
+	settings.path = path
 	return settings, nil
 }
 
--- a/internal/platform/httpcall/httpcall.go
+++ b/internal/platform/httpcall/httpcall.go
@@ -79,8 +79,9 @@
 
 // Caller calls the service. All methods are safe for concurrent use.
 type Caller struct {
-	settings Settings
-	http     *http.Client
+	settings  Settings
+	addresses atomic.Pointer[[]netip.AddrPort]
+	http      *http.Client
 	// address counts the changes of address; it selects one of them.
 	address atomic.Uint32
 	budget  *rate.Limiter
@@ -112,7 +113,7 @@
 // New makes a Caller. Connections are opened by calls.
 func New(settings Settings, counters *observe.Counters) *Caller {
 	dialer := &net.Dialer{Timeout: settings.DialTimeout}
-	return &Caller{
+	c := &Caller{
 		settings: settings,
 		metrics:  newMetrics(counters),
 		budget:   rate.NewLimiter(rate.Limit(settings.CallsPerSecond), settings.CallBurst),
@@ -128,6 +129,14 @@
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
+	c.SetAddresses(settings.Addresses)
+	return c
+}
+
+// SetAddresses replaces the addresses of the service.
+func (c *Caller) SetAddresses(addresses []netip.AddrPort) {
+	c.addresses.Store(&addresses)
+	c.http.CloseIdleConnections()
 }
 
 // Close closes the connections that no call uses.
@@ -223,7 +232,8 @@
 		}
 		body = bytes.NewReader(text)
 	}
-	address := c.settings.Addresses[int(index)%len(c.settings.Addresses)]
+	addresses := *c.addresses.Load()
+	address := addresses[int(index)%len(addresses)]
 	target := url.URL{Scheme: "http", Host: address.String(), Path: call.Path, RawQuery: call.Query.Encode()}
 	request, err := http.NewRequestWithContext(ctx, call.Method, target.String(), body)
 	if err != nil {
@@ -240,7 +250,7 @@
 
 // rotate goes on to the next address unless another call already did.
 func (c *Caller) rotate(index uint32) {
-	if len(c.settings.Addresses) > 1 && c.address.CompareAndSwap(index, index+1) {
+	if len(*c.addresses.Load()) > 1 && c.address.CompareAndSwap(index, index+1) {
 		c.metrics.rotations.Inc()
 	}
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -90,6 +91,12 @@
 // Zone returns the node's availability zone.
 func (n *Node) Zone() string { return string(n.settings.Zone) }
 
+// SettingsPath returns the path of the node's settings.
+func (n *Node) SettingsPath() string { return n.path }
+
+// LogPath returns the path of what the node's processes have logged.
+func (n *Node) LogPath() string { return strings.TrimSuffix(n.path, ".json") + ".log" }
+
 // Service returns the service of the target beside the node, if any.
 func (n *Node) Service() string {
 	if n.settings.Target == nil {
@@ -271,7 +278,7 @@
 
 // StartNode starts a node's process.
 func (s *Site) StartNode(node *Node) error {
-	log, err := os.OpenFile(filepath.Join(s.folder, node.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	log, err := os.OpenFile(node.LogPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
 	}
--- a/internal/underlay/underlay.go
+++ b/internal/underlay/underlay.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/netip"
 
@@ -29,6 +30,8 @@
 	Registration(registrar Registrar) http.Handler
 	// Probe asks a target whether it is healthy.
 	Probe(ctx context.Context, target netip.AddrPort, path string) Health
+	// Reload takes changed settings of the plug-in.
+	Reload(settings json.RawMessage) error
 	// Readiness serves the fabric's readiness probe.
 	Readiness(ready func() bool) http.Handler
 }
