--- a/internal/packetagent/agent.go
+++ b/internal/packetagent/agent.go
@@ -20,7 +20,6 @@
 	"github.com/balsamlink/balsamlink/internal/model"
 	"github.com/balsamlink/balsamlink/internal/observe"
 	"github.com/balsamlink/balsamlink/internal/packetnode"
-	"github.com/balsamlink/balsamlink/internal/platform"
 	"github.com/balsamlink/balsamlink/internal/routing"
 )
 
@@ -112,7 +111,7 @@
 // view is what traffic needs of the control state. It is immutable.
 type view struct {
 	state     *routing.State
-	asOf      platform.Version
+	known     packetnode.Stamp
 	proven    model.Instant
 	balancers []packetnode.Peer
 }
@@ -251,7 +250,7 @@
 
 func (a *agent) publish(now model.Instant, update packetnode.Update) {
 	state, proven := update.Knowledge.State()
-	next := &view{state: state, asOf: update.Knowledge.Document().AsOf, proven: proven}
+	next := &view{state: state, known: update.Knowledge.Stamp(), proven: proven}
 	for _, node := range update.Roster.Nodes() {
 		if node.Peer.Role == model.RoleBalancer && node.Live(now) {
 			next.balancers = append(next.balancers, node.Peer)
--- a/internal/packetagent/traffic.go
+++ b/internal/packetagent/traffic.go
@@ -63,7 +63,7 @@
 		a.metrics.malformed.Inc()
 		return
 	}
-	a.node.Want(uint64(forward.AsOf))
+	a.node.Want(forward.Known)
 	if p.Opening() {
 		a.open(from, p, forward)
 		return
@@ -102,13 +102,13 @@
 		pressure := a.door.Pressure(now)
 		a.mu.Unlock()
 		a.metrics.refusalLog.Info("flow_refused", logrus.Fields{
-			"flow": key, "reason": reason, "balancer": to, "as_of": view.asOf,
+			"flow": key, "reason": reason, "balancer": to, "as_of": view.known.AsOf,
 			"state_age_ms": now.Sub(view.proven).Milliseconds(), "slots": pressure.Slots, "busy": pressure.Busy,
 			"fresh": pressure.Fresh, "waiting": pressure.Waiting, "opened": pressure.Opened, "cold": pressure.Cold,
 		})
 	}
 	buffer := make([]byte, 0, len(packet)+16)
-	a.node.Send(to, packetnode.AppendReturn(buffer, packetnode.Return{Reason: reason, AsOf: view.asOf, Packet: packet}))
+	a.node.Send(to, packetnode.AppendReturn(buffer, packetnode.Return{Reason: reason, Known: view.known, Packet: packet}))
 }
 
 // carry decides on a packet that does not open a flow.
--- a/internal/packetlb/balancer.go
+++ b/internal/packetlb/balancer.go
@@ -21,7 +21,6 @@
 	"github.com/balsamlink/balsamlink/internal/model"
 	"github.com/balsamlink/balsamlink/internal/observe"
 	"github.com/balsamlink/balsamlink/internal/packetnode"
-	"github.com/balsamlink/balsamlink/internal/platform"
 )
 
 // Error is the class of all errors of this layer.
@@ -122,7 +121,7 @@
 // published is what traffic needs of the control state. It is immutable.
 type published struct {
 	view   *flowsteer.View
-	asOf   platform.Version
+	known  packetnode.Stamp
 	agents []netip.Addr
 }
 
@@ -239,7 +238,7 @@
 		Agents:    map[netip.Addr]*flowsteer.Agent{},
 		ByService: map[model.Service][]*flowsteer.Agent{},
 	}
-	next := &published{view: view, asOf: update.Knowledge.Document().AsOf}
+	next := &published{view: view, known: update.Knowledge.Stamp()}
 	for vm, node := range update.Roster.Nodes() {
 		if node.Peer.Role != model.RoleAgent {
 			continue
--- a/internal/packetlb/traffic.go
+++ b/internal/packetlb/traffic.go
@@ -56,7 +56,7 @@
 		b.metrics.malformed.Inc()
 		return
 	}
-	b.node.Want(uint64(returned.AsOf))
+	b.node.Want(returned.Known)
 	b.metrics.returned[returned.Reason].Inc()
 	now := model.Now()
 	b.mu.Lock()
@@ -107,7 +107,7 @@
 func (b *balancer) forward(vm netip.Addr, packet []byte, search bool) {
 	buffer := make([]byte, 0, flow.MaxPacket+16)
 	b.node.Send(vm, packetnode.AppendForward(buffer, packetnode.Forward{
-		Search: search, AsOf: b.view.Load().asOf, Packet: packet,
+		Search: search, Known: b.view.Load().known, Packet: packet,
 	}))
 }
 
@@ -126,7 +126,7 @@
 	}
 	published := b.view.Load()
 	fields := logrus.Fields{
-		"flow": key, "action": verdict.Action, "reason": verdict.Reason, "agent": verdict.Agent, "as_of": published.asOf,
+		"flow": key, "action": verdict.Action, "reason": verdict.Reason, "agent": verdict.Agent, "as_of": published.known.AsOf,
 		"state_age_ms": model.Now().Sub(published.view.Proven).Milliseconds(),
 	}
 	if published.view.State != nil && published.view.State.Config != nil {
--- a/internal/packetnode/knowledge.go
+++ b/internal/packetnode/knowledge.go
@@ -37,6 +37,9 @@
 // Document returns the document that the state was decoded from.
 func (k *Knowledge) Document() routing.Document { return k.document }
 
+// Stamp returns which state is known.
+func (k *Knowledge) Stamp() Stamp { return Stamp{AsOf: k.document.AsOf, Print: uint32(k.print)} }
+
 // Age returns how long ago the state was the newest for certain.
 func (k *Knowledge) Age(now model.Instant) time.Duration { return now.Sub(k.proven) }
 
--- a/internal/packetnode/messages.go
+++ b/internal/packetnode/messages.go
@@ -35,8 +35,26 @@
 const flagSearch = 1
 
 // packetHeaderSize is the size of what goes before a packet: the kind, the
-// flags or the reason, and the version of the operators' state.
-const packetHeaderSize = 10
+// flags or the reason, and the stamp of the operators' state.
+const packetHeaderSize = 14
+
+// Stamp tells in few bytes which operators' state a node knows.
+type Stamp struct {
+	// AsOf is a version of the store at which the state was the newest.
+	AsOf platform.Version
+	// Print identifies the contents: it is the low half of the document's print.
+	Print uint32
+}
+
+func (s Stamp) append(buffer []byte) []byte {
+	buffer = binary.BigEndian.AppendUint64(buffer, uint64(s.AsOf))
+	return binary.BigEndian.AppendUint32(buffer, s.Print)
+}
+
+// parseStamp decodes the stamp of a packet's header.
+func parseStamp(datagram []byte) Stamp {
+	return Stamp{AsOf: platform.Version(binary.BigEndian.Uint64(datagram[2:])), Print: binary.BigEndian.Uint32(datagram[10:])}
+}
 
 // maxDatagram is the largest datagram between nodes, in bytes.
 const maxDatagram = flow.MaxPacket + 64
@@ -47,8 +65,8 @@
 // Forward is a packet on its way to an agent.
 type Forward struct {
 	Search bool
-	// AsOf is the version of the operators' state that the balancer knows.
-	AsOf   platform.Version
+	// Known is the operators' state that the balancer knows.
+	Known  Stamp
 	Packet []byte
 }
 
@@ -59,8 +77,7 @@
 		flags = flagSearch
 	}
 	buffer = append(buffer, byte(KindForward), flags)
-	buffer = binary.BigEndian.AppendUint64(buffer, uint64(f.AsOf))
-	return append(buffer, f.Packet...)
+	return append(f.Known.append(buffer), f.Packet...)
 }
 
 // ParseForward decodes a Forward. Its packet is part of the datagram.
@@ -70,7 +87,7 @@
 	}
 	return Forward{
 		Search: datagram[1]&flagSearch != 0,
-		AsOf:   platform.Version(binary.BigEndian.Uint64(datagram[2:])),
+		Known:  parseStamp(datagram),
 		Packet: datagram[packetHeaderSize:],
 	}, nil
 }
@@ -78,16 +95,15 @@
 // Return is a packet that an agent can't use.
 type Return struct {
 	Reason door.Reason
-	// AsOf is the version of the operators' state that the agent knows.
-	AsOf   platform.Version
+	// Known is the operators' state that the agent knows.
+	Known  Stamp
 	Packet []byte
 }
 
 // AppendReturn adds an encoded Return to a buffer.
 func AppendReturn(buffer []byte, r Return) []byte {
 	buffer = append(buffer, byte(KindReturn), byte(r.Reason))
-	buffer = binary.BigEndian.AppendUint64(buffer, uint64(r.AsOf))
-	return append(buffer, r.Packet...)
+	return append(r.Known.append(buffer), r.Packet...)
 }
 
 // ParseReturn decodes a Return. Its packet is part of the datagram.
@@ -97,7 +113,7 @@
 	}
 	return Return{
 		Reason: door.Reason(datagram[1]),
-		AsOf:   platform.Version(binary.BigEndian.Uint64(datagram[2:])),
+		Known:  parseStamp(datagram),
 		Packet: datagram[packetHeaderSize:],
 	}, nil
 }
--- a/internal/packetnode/node.go
+++ b/internal/packetnode/node.go
@@ -90,6 +90,7 @@
 	// state is shared with other goroutines.
 	state   atomic.Uint32
 	wanted  atomic.Uint64
+	known   atomic.Pointer[Stamp]
 	sealed  atomic.Pointer[routing.Document]
 	stop    context.CancelFunc
 	running sync.WaitGroup
@@ -236,11 +237,16 @@
 // Announce tells the other nodes at once what has changed.
 func (n *Node) Announce() { n.Do(n.beatAll) }
 
-// Want tells that another node knows the operators' state as of a later version.
-func (n *Node) Want(asOf uint64) {
+// Want tells which operators' state another node knows. A later one with other
+// contents is asked for at the next tick.
+func (n *Node) Want(known Stamp) {
+	own := n.known.Load()
+	if own != nil && (known.Print == own.Print || known.AsOf <= own.AsOf) {
+		return
+	}
 	for {
 		wanted := n.wanted.Load()
-		if asOf <= wanted || n.wanted.CompareAndSwap(wanted, asOf) {
+		if uint64(known.AsOf) <= wanted || n.wanted.CompareAndSwap(wanted, uint64(known.AsOf)) {
 			return
 		}
 	}
@@ -349,7 +355,7 @@
 		n.greetBack(now, m.beat.Peer.VM)
 	}
 	if n.knowledge.Heard(m.beat.Proof, event.Node.ProofAt) {
-		n.Want(uint64(m.beat.Proof.AsOf))
+		n.Want(Stamp{AsOf: m.beat.Proof.AsOf, Print: uint32(m.beat.Proof.Print)})
 		n.refresh.begin(n, now)
 	}
 	if event.Turned {
@@ -400,6 +406,10 @@
 }
 
 func (n *Node) publish(now model.Instant) {
+	if n.knowledge.state != nil {
+		stamp := n.knowledge.Stamp()
+		n.known.Store(&stamp)
+	}
 	n.config.Changed(now, Update{Roster: n.roster, Knowledge: n.knowledge, Reported: n.reported, Joined: n.joined, Listed: n.lookup.listed})
 	n.reported, n.joined = n.reported[:0], n.joined[:0]
 }
--- a/internal/packetnode/packetnode_test.go
+++ b/internal/packetnode/packetnode_test.go
@@ -193,17 +193,35 @@
 	require.False(t, k.Adopt(routing.Document{AsOf: 11, Entries: []platform.Entry{{Key: "x"}}}, routing.State{}, start), "a state without a configuration")
 }
 
+// The store's version rises with every write of any node; packets that name a
+// later one must not make a node read the same state again.
+func TestOnlyAnotherStateIsAskedFor(t *testing.T) {
+	n := &Node{knowledge: &Knowledge{}}
+	n.Want(Stamp{AsOf: 3, Print: 1})
+	require.True(t, n.behind(), "none is known")
+	n.knowledge.Adopt(routing.Document{AsOf: 5}, routing.State{}, start)
+	stamp := n.knowledge.Stamp()
+	n.known.Store(&stamp)
+	n.Want(Stamp{AsOf: 9, Print: stamp.Print})
+	require.False(t, n.behind())
+	n.Want(Stamp{AsOf: 4, Print: stamp.Print + 1})
+	require.False(t, n.behind(), "an older one")
+	n.Want(Stamp{AsOf: 9, Print: stamp.Print + 1})
+	require.True(t, n.behind())
+}
+
 func TestDatagramsBetweenNodes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		packet := rapid.SliceOfN(rapid.Byte(), 0, 1300).Draw(t, "packet")
-		forward := Forward{Search: rapid.Bool().Draw(t, "search"), AsOf: platform.Version(rapid.Uint64().Draw(t, "as of")), Packet: packet}
+		forward := Forward{Search: rapid.Bool().Draw(t, "search"), Packet: packet,
+			Known: Stamp{AsOf: platform.Version(rapid.Uint64().Draw(t, "as of")), Print: rapid.Uint32().Draw(t, "print")}}
 		parsed, err := ParseForward(AppendForward(nil, forward))
 		require.NoError(t, err)
 		require.Equal(t, forward.Search, parsed.Search)
-		require.Equal(t, forward.AsOf, parsed.AsOf)
+		require.Equal(t, forward.Known, parsed.Known)
 		require.Equal(t, string(packet), string(parsed.Packet))
 		reason := door.Reason(rapid.IntRange(0, door.ReasonCount-1).Draw(t, "reason"))
-		returned, err := ParseReturn(AppendReturn(nil, Return{Reason: reason, AsOf: forward.AsOf, Packet: packet}))
+		returned, err := ParseReturn(AppendReturn(nil, Return{Reason: reason, Known: forward.Known, Packet: packet}))
 		require.NoError(t, err)
 		require.Equal(t, reason, returned.Reason)
 		var keys []flow.Key
