Compare a few agents by flow instead of all by stale load

Ruled out: too few slots (51 of 172 busy). Change: two agents of the own zone and two of others, chosen by the flow's hash.

--- a/internal/flowsteer/place.go
+++ b/internal/flowsteer/place.go
@@ -23,8 +23,9 @@
 	// waitPenalty keeps new flows away from targets at which they would wait while
 	// others take them at once, in flows per slot. It exceeds every other cost.
 	waitPenalty = 1000
-	// sampleSize bounds how many agents are compared for one flow.
-	sampleSize = 24
+	// sampleSize is how many agents are compared for one flow in the own zone, and
+	// as many in the others.
+	sampleSize = 2
 	// assumedSlots stands in for the slots of a target that has not told them.
 	assumedSlots = 4
 )
@@ -53,19 +54,49 @@
 	if len(agents) == 0 {
 		return nil
 	}
-	var best *Agent
-	var lowest float64
+	own, others := pick{}, pick{}
 	first := int(hash>>32) % len(agents)
-	for i := range min(len(agents), sampleSize) {
+	for i := range len(agents) {
 		agent := agents[(first+i)%len(agents)]
 		if !agent.takes(now, t.view.State) || contains(tried, agent.VM) || t.placed[agent.VM] >= agent.Room {
 			continue
 		}
-		if cost := t.cost(agent); best == nil || cost < lowest {
-			best, lowest = agent, cost
+		if agent.Zone == t.view.Zone {
+			own.offer(agent, t.cost(agent))
+		} else {
+			others.offer(agent, t.cost(agent))
 		}
+		if own.settled() && others.settled() {
+			break
+		}
+	}
+	if own.best == nil || (others.best != nil && others.cost < own.cost) {
+		return others.best
+	}
+	return own.best
+}
+
+// pick is the best of the first few agents that are offered. Balancers whose
+// reports are equally old would all choose the same agent if they compared all;
+// a few that differ by flow spread the flows.
+type pick struct {
+	best *Agent
+	cost float64
+	seen int
+}
+
+// settled reports whether no further agent is compared: enough were, and one of
+// them need not let the flow wait.
+func (p *pick) settled() bool { return p.seen >= sampleSize && p.cost < waitPenalty }
+
+func (p *pick) offer(agent *Agent, cost float64) {
+	if p.settled() {
+		return
+	}
+	p.seen++
+	if p.best == nil || cost < p.cost {
+		p.best, p.cost = agent, cost
 	}
-	return best
 }
 
 // cost is the expected load of an agent's target with one more flow, in flows
