Explain nodes of the packet path with balsamctl; steer packets without memory

Change: each node's operators' address shows /status and /why; balsamctl packets status and why ask all nodes that one knows. A forwarded packet is encoded into a buffer of its goroutine.

--- a/internal/failure/packets_test.go
+++ b/internal/failure/packets_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -378,6 +380,25 @@
 	requireUnharmed(t, s)
 }
 
+func TestPacketNodesExplainThemselves(t *testing.T) {
+	s := startSite(t, nil)
+	flows := openFlows(t, s, 2)
+	run := func(arguments ...string) string {
+		command := exec.Command(filepath.Join(programs, "balsamctl"), append([]string{"packets"}, arguments...)...)
+		out, err := command.CombinedOutput()
+		require.NoError(t, err, string(out))
+		return string(out)
+	}
+	node := "--node=" + s.Nodes("")[0].Metrics().String()
+	table := run("status", node)
+	require.Equal(t, 1+2+4, strings.Count(table, "\n"), table)
+	require.Contains(t, table, "memberdesk")
+	require.Contains(t, run("status", node, "--json"), `"version": 3`)
+	why := run("why", node, "--flow", flows[0].Key.String())
+	require.Contains(t, why, "known: agent")
+	require.Contains(t, why, "flow: open true")
+}
+
 func TestPacketPathServesMixedLoad(t *testing.T) {
 	for _, hash := range []site.Hash{site.HashSteady, site.HashMod} {
 		t.Run(string(hash), func(t *testing.T) {
--- /dev/null
+++ b/internal/flowsteer/explain.go
@@ -0,0 +1,40 @@
+package flowsteer
+
+import (
+	"fmt"
+
+	"github.com/balsamlink/balsamlink/internal/flow"
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// Explain tells in a few lines why a flow goes where it goes, or where it would go
+// if it were new. It changes nothing.
+func (t *Table) Explain(now model.Instant, key flow.Key) []string {
+	var lines []string
+	say := func(format string, values ...any) { lines = append(lines, fmt.Sprintf(format, values...)) }
+	if known := t.records[key]; known != nil && known.agent.IsValid() {
+		say("known: agent %s, open %t, last packet %d ms ago, agent lost %t",
+			known.agent, known.opened, now.Sub(known.seen).Milliseconds(), t.agentLost(now, known.agent))
+	} else if known != nil && known.search != nil {
+		say("searching: %d copies sent, denied by %d of %d agents", known.search.copies, len(known.search.denied), len(t.view.Agents))
+	} else {
+		say("unknown: a packet of an open flow would be searched for at %d agents", len(t.view.Agents))
+	}
+	if t.view.State == nil || t.view.State.Config == nil {
+		return append(lines, "the operators' state is not known")
+	}
+	say("configuration %d, proven %d ms ago", t.view.State.Config.Version, now.Sub(t.view.Proven).Milliseconds())
+	route := t.view.State.Config.Routes[key.Service]
+	if route == nil {
+		return append(lines, "no route leads to "+key.Service.String())
+	}
+	say("route %s; a new flow would go to service %s", route.Name, route.Pick(key.Hash()))
+	for _, choice := range route.Choices {
+		for _, agent := range t.view.ByService[choice.Service] {
+			say("agent %s of %s in %s: takes new flows %t, zone out %t, silent %t, cold %t, room %d, free %d, cost %.2f flows per slot",
+				agent.VM, agent.Service, agent.Zone, agent.takes(now, t.view.State), t.view.State.Out[agent.Zone], agent.silent(now),
+				agent.Cold, agent.Room, agent.Free, t.cost(agent))
+		}
+	}
+	return lines
+}
--- a/internal/operator/ctl/ctl.go
+++ b/internal/operator/ctl/ctl.go
@@ -77,7 +77,7 @@
 		Action:         a.checkSettings,
 		Commands: []*cli.Command{
 			a.lint(), a.diff(), a.apply(), a.show(), a.history(), a.zone(), a.target(),
-			a.audit(), a.forecast(), a.status(),
+			a.audit(), a.forecast(), a.status(), a.packets(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/operator/ctl/packets.go
@@ -0,0 +1,142 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/balsamlink/balsamlink/internal/kernel"
+	"github.com/balsamlink/balsamlink/internal/packetnode"
+)
+
+const (
+	// packetCallTime bounds the call of one node.
+	packetCallTime = 2 * time.Second
+	// packetCalls is how many nodes are called at the same time.
+	packetCalls = 16
+)
+
+// packets is the command for the nodes of the packet path. They are asked at
+// their operators' address; the nodes that one knows are asked too.
+func (a *app) packets() *cli.Command {
+	node := &cli.StringFlag{Name: "node", Usage: "operators' `ADDRESS` of any node, as in 10.1.0.10:9180", Required: true}
+	flow := &cli.StringFlag{Name: "flow", Usage: "the `FLOW`, as logs show it: client:port>service:port", Required: true}
+	return &cli.Command{
+		Name:  "packets",
+		Usage: "look at the nodes of the packet path",
+		Commands: []*cli.Command{
+			verb("status", "show what every node knows: version, its age, state, load", "", a.packetStatus, node),
+			verb("why", "tell why a flow goes where it goes", "", a.packetWhy, node, flow),
+		},
+		OnUsageError: usageError,
+	}
+}
+
+// packetNode is one node's answer.
+type packetNode struct {
+	Address netip.AddrPort     `json:"address"`
+	Status  *packetnode.Status `json:"status,omitempty"`
+	Why     []string           `json:"why,omitempty"`
+	Error   string             `json:"error,omitempty"`
+}
+
+func (a *app) packetStatus(ctx context.Context, command *cli.Command) error {
+	nodes, err := packetNodes(ctx, command)
+	if err != nil {
+		return err
+	}
+	return a.print(command, nodes, func(w io.Writer) { printPacketNodes(w, nodes) })
+}
+
+func printPacketNodes(w io.Writer, nodes []*packetNode) {
+	fmt.Fprintln(w, "VM\tROLE\tZONE\tSERVICE\tSTATE\tVERSION\tAGE MS\tOUT\tNODES")
+	for _, node := range nodes {
+		if node.Status == nil {
+			fmt.Fprintf(w, "%s\t%s\n", node.Address.Addr(), node.Error)
+			continue
+		}
+		s := node.Status
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%v\t%d\n",
+			s.VM, s.Role, s.Zone, s.Service, s.State, s.Version, s.AgeMillis, s.Out, len(s.Nodes))
+	}
+}
+
+func (a *app) packetWhy(ctx context.Context, command *cli.Command) error {
+	if _, err := packetnode.ParseFlow(command.String("flow")); err != nil {
+		return kernel.Usage(err)
+	}
+	nodes, err := packetNodes(ctx, command)
+	if err != nil {
+		return err
+	}
+	askAll(nodes, func(node *packetNode) error {
+		query := url.Values{packetnode.QueryFlow: {command.String("flow")}}
+		return getPage(ctx, node.Address, packetnode.PathWhy+"?"+query.Encode(), &node.Why)
+	})
+	return a.print(command, nodes, func(w io.Writer) {
+		for _, node := range nodes {
+			fmt.Fprintf(w, "%s %s\n  %s\n", node.Address.Addr(), node.Error, strings.Join(node.Why, "\n  "))
+		}
+	})
+}
+
+// packetNodes asks one node for those that it knows, and then all of them.
+func packetNodes(ctx context.Context, command *cli.Command) ([]*packetNode, error) {
+	first, err := netip.ParseAddrPort(command.String("node"))
+	if err != nil {
+		return nil, kernel.Usage(Error.New("node: %v", err))
+	}
+	own := &packetNode{Address: first}
+	if err := getPage(ctx, first, packetnode.PathStatus, &own.Status); err != nil {
+		return nil, err
+	}
+	nodes := []*packetNode{own}
+	for _, other := range own.Status.Nodes {
+		nodes = append(nodes, &packetNode{Address: netip.AddrPortFrom(other.VM, first.Port())})
+	}
+	askAll(nodes[1:], func(node *packetNode) error { return getPage(ctx, node.Address, packetnode.PathStatus, &node.Status) })
+	return nodes, nil
+}
+
+// askAll asks some nodes at the same time and notes their errors.
+func askAll(nodes []*packetNode, ask func(node *packetNode) error) {
+	slots := make(chan struct{}, packetCalls)
+	var running sync.WaitGroup
+	for _, node := range nodes {
+		slots <- struct{}{}
+		running.Go(func() {
+			defer func() { <-slots }()
+			if err := ask(node); err != nil {
+				node.Error = err.Error()
+			}
+		})
+	}
+	running.Wait()
+}
+
+func getPage(ctx context.Context, address netip.AddrPort, path string, page any) error {
+	ctx, cancel := context.WithTimeout(ctx, packetCallTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, http.NoBody)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answers %s", address, response.Status)
+	}
+	return json.NewDecoder(response.Body).Decode(page)
+}
--- a/internal/packetagent/agent.go
+++ b/internal/packetagent/agent.go
@@ -18,7 +18,6 @@
 	"github.com/balsamlink/balsamlink/internal/flow"
 	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/model"
-	"github.com/balsamlink/balsamlink/internal/observe"
 	"github.com/balsamlink/balsamlink/internal/packetnode"
 	"github.com/balsamlink/balsamlink/internal/routing"
 )
@@ -157,7 +156,7 @@
 		return err
 	}
 	a.pages = append(a.pages, probe)
-	operators, err := packetnode.Serve(a.settings.Metrics, observe.Handler(a.base.Counters, observe.NewHealth()), a.log)
+	operators, err := packetnode.Serve(a.settings.Metrics, a.node.Pages(a.explain), a.log)
 	if err != nil {
 		return err
 	}
@@ -282,3 +281,10 @@
 		a.reset(loss.Key, loss.Sequence, why)
 	}
 }
+
+// explain tells what the agent would do with a flow.
+func (a *agent) explain(now model.Instant, key flow.Key) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.door.Explain(now, a.view.Load().state, key)
+}
--- a/internal/packetlb/balancer.go
+++ b/internal/packetlb/balancer.go
@@ -19,7 +19,6 @@
 	"github.com/balsamlink/balsamlink/internal/flowsteer"
 	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/model"
-	"github.com/balsamlink/balsamlink/internal/observe"
 	"github.com/balsamlink/balsamlink/internal/packetnode"
 )
 
@@ -27,8 +26,8 @@
 var Error = errs.Class("packetlb")
 
 const (
-	// flowBytes is the memory of one flow in the table, in bytes, as measured by
-	// BenchmarkTableMemory.
+	// flowBytes is the most memory that one flow takes in the table, in bytes.
+	// TestTableMemory of flowsteer holds it to that.
 	flowBytes = 400
 	// flowShare is the part of the process's memory that the table may take.
 	flowShare = 0.4
@@ -105,6 +104,11 @@
 	informed model.Instant
 	expired  model.Instant
 
+	// returns and lost carry out verdicts on what agents return, and on flows of
+	// lost agents, each on a goroutine of its own.
+	returns *sender
+	lost    *sender
+
 	mu    sync.Mutex
 	table *flowsteer.Table
 }
@@ -132,6 +136,7 @@
 	b.table = flowsteer.NewTable(flowsteer.Limits{Flows: limit, Lifetime: b.settings.FlowLifetime()}, model.Now())
 	b.metrics = newMetrics(b.base.Counters, b.log, b.flows)
 	b.view.Store(&published{view: &flowsteer.View{}})
+	b.returns, b.lost = newSender(b), newSender(b)
 	clients, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(b.settings.Packets))
 	if err != nil {
 		return Error.New("packets from the fabric at %s: %v", b.settings.Packets, err)
@@ -161,7 +166,7 @@
 		return err
 	}
 	b.pages = append(b.pages, probe)
-	operators, err := packetnode.Serve(b.settings.Metrics, observe.Handler(b.base.Counters, observe.NewHealth()), b.log)
+	operators, err := packetnode.Serve(b.settings.Metrics, b.node.Pages(b.explain), b.log)
 	if err != nil {
 		return err
 	}
@@ -309,6 +314,13 @@
 	losses := b.table.Expire(now)
 	b.mu.Unlock()
 	for _, loss := range losses {
-		b.carryOut(loss.Key, loss.Verdict, nil)
+		b.lost.carryOut(loss.Key, loss.Verdict, nil)
 	}
 }
+
+// explain tells why a flow goes where it goes.
+func (b *balancer) explain(now model.Instant, key flow.Key) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table.Explain(now, key)
+}
--- a/internal/packetlb/traffic.go
+++ b/internal/packetlb/traffic.go
@@ -17,6 +17,7 @@
 // readClients takes the packets of the fabric.
 func (b *balancer) readClients() {
 	buffer := make([]byte, flow.MaxPacket)
+	sender := newSender(b)
 	for {
 		size, _, err := b.clients.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -27,11 +28,11 @@
 			continue
 		}
 		b.packets.Add(1)
-		b.takeClient(buffer[:size])
+		b.takeClient(sender, buffer[:size])
 	}
 }
 
-func (b *balancer) takeClient(packet []byte) {
+func (b *balancer) takeClient(sender *sender, packet []byte) {
 	p, err := b.codec.Parse(packet)
 	if err != nil {
 		b.metrics.malformed.Inc()
@@ -41,7 +42,7 @@
 	b.mu.Lock()
 	verdict := b.table.Client(now, p)
 	b.mu.Unlock()
-	b.carryOut(p.FromClient(), verdict, packet)
+	sender.carryOut(p.FromClient(), verdict, packet)
 }
 
 // takeReturn takes a packet that an agent can't use.
@@ -67,7 +68,7 @@
 		verdict = b.table.Denied(now, p, from)
 	}
 	b.mu.Unlock()
-	b.carryOut(p.FromClient(), verdict, returned.Packet)
+	b.returns.carryOut(p.FromClient(), verdict, returned.Packet)
 }
 
 // takeClaims takes an agent's word that it holds flows.
@@ -86,29 +87,40 @@
 	}
 }
 
+// sender carries verdicts out. Each goroutine has one of its own, so that no
+// packet needs memory.
+type sender struct {
+	*balancer
+	buffer []byte
+}
+
+func newSender(b *balancer) *sender {
+	return &sender{balancer: b, buffer: make([]byte, 0, packetnode.MaxDatagram)}
+}
+
 // carryOut does what a verdict says with a packet.
-func (b *balancer) carryOut(key flow.Key, verdict flowsteer.Verdict, packet []byte) {
-	b.metrics.verdicts[verdict.Action][verdict.Reason].Inc()
-	b.note(key, verdict)
+func (s *sender) carryOut(key flow.Key, verdict flowsteer.Verdict, packet []byte) {
+	s.metrics.verdicts[verdict.Action][verdict.Reason].Inc()
+	s.note(key, verdict)
 	switch verdict.Action {
 	case flowsteer.ActionForward:
-		b.forward(verdict.Agent, packet, false)
+		s.forward(verdict.Agent, packet, false)
 	case flowsteer.ActionSearch:
-		for _, vm := range b.view.Load().agents {
+		for _, vm := range s.view.Load().agents {
 			if vm != verdict.Agent {
-				b.forward(vm, packet, true)
+				s.forward(vm, packet, true)
 			}
 		}
 	case flowsteer.ActionReset:
-		b.reset(key, verdict.Sequence)
+		s.reset(key, verdict.Sequence)
 	}
 }
 
-func (b *balancer) forward(vm netip.Addr, packet []byte, search bool) {
-	buffer := make([]byte, 0, flow.MaxPacket+16)
-	b.node.Send(vm, packetnode.AppendForward(buffer, packetnode.Forward{
-		Search: search, Known: b.view.Load().known, Packet: packet,
-	}))
+func (s *sender) forward(vm netip.Addr, packet []byte, search bool) {
+	s.buffer = packetnode.AppendForward(s.buffer[:0], packetnode.Forward{
+		Search: search, Known: s.view.Load().known, Packet: packet,
+	})
+	s.node.Send(vm, s.buffer)
 }
 
 func (b *balancer) reset(key flow.Key, sequence uint32) {
--- a/internal/packetnode/messages.go
+++ b/internal/packetnode/messages.go
@@ -56,8 +56,8 @@
 	return Stamp{AsOf: platform.Version(binary.BigEndian.Uint64(datagram[2:])), Print: binary.BigEndian.Uint32(datagram[10:])}
 }
 
-// maxDatagram is the largest datagram between nodes, in bytes.
-const maxDatagram = flow.MaxPacket + 64
+// MaxDatagram is the largest datagram between nodes, in bytes.
+const MaxDatagram = flow.MaxPacket + 64
 
 // MaxKeys is the number of flows that one datagram names at most.
 const MaxKeys = 90
@@ -205,14 +205,14 @@
 
 // Load is what an agent tells of its target.
 type Load struct {
-	Slots uint32
-	Flows uint32
-	Busy  uint32
-	Cold  bool
+	Slots uint32 `json:"slots"`
+	Flows uint32 `json:"flows"`
+	Busy  uint32 `json:"busy"`
+	Cold  bool   `json:"cold"`
 	// Room is the number of new flows that the agent would take, and Free that of
 	// those which need not wait.
-	Room uint32
-	Free uint32
+	Room uint32 `json:"room"`
+	Free uint32 `json:"free"`
 }
 
 // interval returns the time between two beats.
--- a/internal/packetnode/node.go
+++ b/internal/packetnode/node.go
@@ -263,7 +263,7 @@
 }
 
 func (n *Node) readSocket() {
-	buffer := make([]byte, maxDatagram)
+	buffer := make([]byte, MaxDatagram)
 	for {
 		size, from, err := n.socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
--- /dev/null
+++ b/internal/packetnode/pages.go
@@ -0,0 +1,145 @@
+package packetnode
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/flow"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/observe"
+)
+
+// The paths of the operators' pages, beside those of package observe.
+const (
+	// PathStatus shows what the node knows and does.
+	PathStatus = "/status"
+	// PathWhy shows why a flow goes where it goes; the query names the flow as
+	// "client:port>service:port".
+	PathWhy = "/why"
+	// QueryFlow is the query parameter of PathWhy.
+	QueryFlow = "flow"
+)
+
+// pageTimeout bounds the wait for the control goroutine.
+const pageTimeout = time.Second
+
+// Status is what a node tells operators of itself.
+type Status struct {
+	VM      netip.Addr    `json:"vm"`
+	Role    string        `json:"role"`
+	Zone    model.Zone    `json:"zone"`
+	Service model.Service `json:"service,omitempty"`
+	State   string        `json:"state"`
+	// Version is the configuration in force, and AgeMillis how long ago it was the
+	// newest for certain.
+	Version   uint64       `json:"version"`
+	AsOf      uint64       `json:"as_of"`
+	AgeMillis int64        `json:"age_ms"`
+	Out       []model.Zone `json:"out"`
+	Nodes     []NodeStatus `json:"nodes"`
+}
+
+// NodeStatus is what a node knows of another.
+type NodeStatus struct {
+	VM          netip.Addr    `json:"vm"`
+	Role        string        `json:"role"`
+	Zone        model.Zone    `json:"zone"`
+	Service     model.Service `json:"service,omitempty"`
+	State       string        `json:"state"`
+	HeardMillis int64         `json:"heard_ms"`
+	Load        Load          `json:"load"`
+}
+
+// ParseFlow decodes a flow as logs show it, as in "100.64.0.7:40001>198.18.0.1:443".
+func ParseFlow(text string) (flow.Key, error) {
+	client, service, found := strings.Cut(text, ">")
+	if !found {
+		return flow.Key{}, Error.New("flow %q; allowed: client:port>service:port", text)
+	}
+	var key flow.Key
+	for _, end := range []struct {
+		text string
+		into *flow.Endpoint
+	}{{client, &key.Client}, {service, &key.Service}} {
+		address, err := netip.ParseAddrPort(end.text)
+		if err != nil || !address.Addr().Is4() {
+			return flow.Key{}, Error.New("end %q of a flow; allowed: an IPv4 address and a port", end.text)
+		}
+		*end.into = flow.EndpointOf(address)
+	}
+	return key, nil
+}
+
+// Pages returns the operators' pages of a node. Explain tells why a flow goes
+// where it goes, as lines of text.
+func (n *Node) Pages(explain func(now model.Instant, key flow.Key) []string) http.Handler {
+	pages := http.NewServeMux()
+	pages.Handle("/", observe.Handler(n.config.Counters, observe.NewHealth()))
+	pages.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) {
+		status, ok := n.status()
+		if !ok {
+			http.Error(w, "the control goroutine is busy", http.StatusServiceUnavailable)
+			return
+		}
+		writePage(w, status)
+	})
+	pages.HandleFunc("GET "+PathWhy, func(w http.ResponseWriter, r *http.Request) {
+		key, err := ParseFlow(r.URL.Query().Get(QueryFlow))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		writePage(w, explain(model.Now(), key))
+	})
+	return pages
+}
+
+func writePage(w http.ResponseWriter, page any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A reader that went away needs no page.
+	_ = json.NewEncoder(w).Encode(page)
+}
+
+// status asks the control goroutine what it knows.
+func (n *Node) status() (Status, bool) {
+	answer := make(chan Status, 1)
+	n.Do(func(now model.Instant) { answer <- n.describe(now) })
+	select {
+	case status := <-answer:
+		return status, true
+	case <-time.After(pageTimeout):
+		return Status{}, false
+	}
+}
+
+func (n *Node) describe(now model.Instant) Status {
+	state := State(n.state.Load())
+	if n.config.Load != nil && state <= StateOpen {
+		state, _ = n.config.Load(now)
+	}
+	status := Status{
+		VM: n.self.VM, Role: n.self.Role.String(), Zone: n.self.Zone, Service: n.self.Service, State: state.String(),
+		AsOf: uint64(n.knowledge.document.AsOf), AgeMillis: n.knowledge.Age(now).Milliseconds(), Out: []model.Zone{}, Nodes: []NodeStatus{},
+	}
+	if known := n.knowledge.state; known != nil {
+		for zone := range known.Out {
+			status.Out = append(status.Out, zone)
+		}
+		if known.Config != nil {
+			status.Version = known.Config.Version
+		}
+	}
+	slices.Sort(status.Out)
+	for vm, node := range n.roster.nodes {
+		status.Nodes = append(status.Nodes, NodeStatus{
+			VM: vm, Role: node.Peer.Role.String(), Zone: node.Peer.Zone, Service: node.Peer.Service, State: node.State.String(),
+			HeardMillis: now.Sub(max(node.Heard, node.Added)).Milliseconds(), Load: node.Load,
+		})
+	}
+	slices.SortFunc(status.Nodes, func(a, b NodeStatus) int { return a.VM.Compare(b.VM) })
+	return status
+}
