--- a/internal/flowsteer/place.go
+++ b/internal/flowsteer/place.go
@@ -33,70 +33,115 @@
 // place returns the agent that a new flow is best served at, leaving out those
 // that have refused it.
 func (t *Table) place(now model.Instant, route *routing.Route, key flow.Key, tried []netip.Addr) *Agent {
-	hash := key.Hash()
-	chosen := route.Pick(hash)
-	if agent := t.placeAt(now, chosen, hash, tried); agent != nil {
+	chosen := route.Pick(key.Hash())
+	if agent := t.placeAt(now, chosen, key, tried); agent != nil {
 		return agent
 	}
 	for _, choice := range route.Choices {
 		if choice.Service == chosen || choice.Weight == 0 {
 			continue
 		}
-		if agent := t.placeAt(now, choice.Service, hash, tried); agent != nil {
+		if agent := t.placeAt(now, choice.Service, key, tried); agent != nil {
 			return agent
 		}
 	}
 	return nil
 }
 
-func (t *Table) placeAt(now model.Instant, service model.Service, hash uint64, tried []netip.Addr) *Agent {
-	agents := t.view.ByService[service]
-	if len(agents) == 0 {
-		return nil
-	}
-	own, others := pick{}, pick{}
-	first := int(hash>>32) % len(agents)
-	for i := range len(agents) {
-		agent := agents[(first+i)%len(agents)]
+func (t *Table) placeAt(now model.Instant, service model.Service, key flow.Key, tried []netip.Addr) *Agent {
+	own, others := nearest{}, nearest{}
+	for _, agent := range t.view.ByService[service] {
 		if !agent.takes(now, t.view.State) || contains(tried, agent.VM) || t.placed[agent.VM] >= agent.Room {
 			continue
 		}
+		waits := t.placed[agent.VM] >= agent.Free
 		if agent.Zone == t.view.Zone {
-			own.offer(agent, t.cost(agent))
+			own.offer(agent, key.Rank(agent.VM), waits)
 		} else {
-			others.offer(agent, t.cost(agent))
+			others.offer(agent, key.Rank(agent.VM), waits)
 		}
-		if own.settled() && others.settled() {
-			break
+	}
+	var best *Agent
+	for _, agent := range append(own.agents(), others.agents()...) {
+		if best == nil || t.cost(agent) < t.cost(best) {
+			best = agent
 		}
 	}
-	if own.best == nil || (others.best != nil && others.cost < own.cost) {
-		return others.best
+	return best
+}
+
+// nearest keeps the agents with the largest rendezvous weights for a flow, those
+// first at which it need not wait. Balancers whose reports are equally old would
+// all choose the same agent if they compared the loads of all; a few that differ
+// by flow spread the flows, and tell where a flow is most likely found again.
+type nearest struct {
+	found [sampleSize]ranked
+	count int
+}
+
+type ranked struct {
+	agent  *Agent
+	weight uint64
+	waits  bool
+}
+
+func (r ranked) before(other ranked) bool {
+	if r.waits != other.waits {
+		return other.waits
 	}
-	return own.best
+	return r.weight > other.weight
 }
 
-// pick is the best of the first few agents that are offered. Balancers whose
-// reports are equally old would all choose the same agent if they compared all;
-// a few that differ by flow spread the flows.
-type pick struct {
-	best *Agent
-	cost float64
-	seen int
+func (n *nearest) offer(agent *Agent, weight uint64, waits bool) {
+	next := ranked{agent: agent, weight: weight, waits: waits}
+	for i := range n.count {
+		if next.before(n.found[i]) {
+			n.found[i], next = next, n.found[i]
+		}
+	}
+	if n.count < sampleSize {
+		n.found[n.count] = next
+		n.count++
+	}
 }
 
-// settled reports whether no further agent is compared: enough were, and one of
-// them need not let the flow wait.
-func (p *pick) settled() bool { return p.seen >= sampleSize && p.cost < waitPenalty }
+func (n *nearest) agents() []*Agent {
+	agents := make([]*Agent, 0, 2*sampleSize)
+	for i := range n.count {
+		agents = append(agents, n.found[i].agent)
+	}
+	return agents
+}
 
-func (p *pick) offer(agent *Agent, cost float64) {
-	if p.settled() {
-		return
+// likely returns the agents that an open flow is most likely found at: those in
+// each zone at which its services would have been placed.
+func (t *Table) likely(key flow.Key) []netip.Addr {
+	if t.view.State == nil || t.view.State.Config == nil {
+		return nil
 	}
-	p.seen++
-	if p.best == nil || cost < p.cost {
-		p.best, p.cost = agent, cost
+	route := t.view.State.Config.Routes[key.Service]
+	if route == nil {
+		return nil
+	}
+	var vms []netip.Addr
+	for _, choice := range route.Choices {
+		zones := map[model.Zone]*nearest{}
+		for _, agent := range t.view.ByService[choice.Service] {
+			if agent.State == AgentGone {
+				continue
+			}
+			if zones[agent.Zone] == nil {
+				zones[agent.Zone] = &nearest{}
+			}
+			zones[agent.Zone].offer(agent, key.Rank(agent.VM), false)
+		}
+		for _, zone := range zones {
+			for _, agent := range zone.agents() {
+				vms = append(vms, agent.VM)
+			}
+		}
 	}
+	return vms
 }
 
 // cost is the expected load of an agent's target with one more flow, in flows
--- a/internal/flowsteer/table.go
+++ b/internal/flowsteer/table.go
@@ -19,7 +19,7 @@
 	ActionDrop Action = iota
 	// ActionForward sends the packet to the verdict's agent.
 	ActionForward
-	// ActionSearch sends a copy of the packet to all agents but the verdict's.
+	// ActionSearch sends a copy of the packet to each of the verdict's agents.
 	ActionSearch
 	// ActionReset tells the client that its flow is given up.
 	ActionReset
@@ -54,6 +54,8 @@
 	ReasonNoRoom
 	// ReasonSearching tells that the search is on and has had enough copies.
 	ReasonSearching
+	// ReasonSearchBudget tells that too many copies were sent lately.
+	ReasonSearchBudget
 	// ReasonNotFound tells that no agent holds the flow.
 	ReasonNotFound
 	// ReasonAgentLost tells that the flow's agent is lost.
@@ -77,7 +79,7 @@
 func (a Action) String() string { return actionNames[a] }
 
 var reasonNames = [...]string{"placed", "known", "retried", "unknown_flow", "no_state", "no_route", "unproven_route",
-	"no_target", "refused", "no_room", "searching", "not_found", "agent_lost", "table_full", "ended"}
+	"no_target", "refused", "no_room", "searching", "search_budget", "not_found", "agent_lost", "table_full", "ended"}
 
 // String returns the name that logs and metrics use.
 func (r Reason) String() string { return reasonNames[r] }
@@ -87,6 +89,8 @@
 	Action Action
 	Reason Reason
 	Agent  netip.Addr
+	// Agents are those that a search asks.
+	Agents []netip.Addr
 	// Sequence goes into a reset.
 	Sequence uint32
 }
@@ -95,12 +99,20 @@
 	// maxTries is how many agents a new flow is offered to. Each costs a round
 	// trip between VMs.
 	maxTries = 4
-	// maxCopies is how many packets of a flow are sent to all agents in one
-	// search.
+	// maxCopies is how many packets of a flow are sent to the agents of one round
+	// of a search.
 	maxCopies = 3
-	// searchTime is how long the answers to a search may take. It is the client's
+	// roundTime is how long the answers to one round may take. It is the client's
 	// first retransmission timeout.
-	searchTime = 200 * time.Millisecond
+	roundTime = 200 * time.Millisecond
+	// searchTime is how long the answers count. A target does not come to hold an
+	// open flow later on.
+	searchTime = 3 * time.Second
+	// copyRate and copyBurst bound the copies that go to all agents, in copies a
+	// second and at once. A copy costs about 5 us: the rate is a third of the
+	// processor of the smallest entry VM, 0.06 cores.
+	copyRate  = 4000
+	copyBurst = 4000
 	// lastCopy is the number of the last copy of an opening packet.
 	lastCopy = 2
 	// idleFallback is how long a flow may rest while the operators' limit is not
@@ -126,10 +138,16 @@
 	search *search
 }
 
-// search is the state of a search for a flow's agent.
+// search is the state of a search for a flow's agent. The first round asks the
+// agents at which the flow most likely is, further ones all that have not denied
+// it.
 type search struct {
-	since  model.Instant
+	since model.Instant
+	round model.Instant
+	// wide tells that the present round asks all agents.
+	wide   bool
 	copies int
+	asked  []netip.Addr
 	// denied are the agents that do not hold the flow.
 	denied map[netip.Addr]bool
 }
@@ -142,6 +160,9 @@
 	records map[flow.Key]*record
 	// placed counts the new flows of each agent since its last report.
 	placed map[netip.Addr]int
+	// credit is the number of copies that may go to all agents, as of credited.
+	credit   float64
+	credited model.Instant
 }
 
 // Limits bound a table.
@@ -160,6 +181,7 @@
 		view:    &View{},
 		records: map[flow.Key]*record{},
 		placed:  map[netip.Addr]int{},
+		credit:  copyBurst, credited: now,
 	}
 }
 
@@ -309,22 +331,62 @@
 	return Verdict{Action: ActionReset, Reason: ReasonRefused}
 }
 
-// find searches for the agent of a flow.
+// find searches for the agent of a flow with a packet at hand. An agent that has
+// just denied the flow is named.
 func (t *Table) find(now model.Instant, key flow.Key, known *record, denying netip.Addr) Verdict {
-	if known.search == nil || now.Sub(known.search.since) >= searchTime {
-		known.search = &search{since: now, denied: map[netip.Addr]bool{}}
+	s := known.search
+	if s == nil || now.Sub(s.since) >= searchTime {
+		s = &search{since: now, round: now, asked: t.likely(key), denied: map[netip.Addr]bool{}}
+		known.search = s
 	}
 	if denying.IsValid() {
-		known.search.denied[denying] = true
+		s.denied[denying] = true
 	}
-	if t.notFound(now, known.search) {
+	if t.notFound(now, s) {
 		return t.giveUp(key, known, ReasonNotFound)
 	}
-	if known.search.copies >= maxCopies {
+	if now.Sub(s.round) >= roundTime || (!s.wide && s.exhausted()) {
+		s.widen(now, t.view)
+	}
+	if s.copies >= maxCopies || len(s.asked) == 0 {
 		return Verdict{Reason: ReasonSearching}
 	}
-	known.search.copies++
-	return Verdict{Action: ActionSearch, Reason: ReasonUnknownFlow, Agent: denying}
+	if s.wide && !t.spend(now, len(s.asked)) {
+		return Verdict{Reason: ReasonSearchBudget}
+	}
+	s.copies++
+	return Verdict{Action: ActionSearch, Reason: ReasonUnknownFlow, Agents: s.asked}
+}
+
+// exhausted reports whether all agents of the round have denied the flow.
+func (s *search) exhausted() bool {
+	for _, vm := range s.asked {
+		if !s.denied[vm] {
+			return false
+		}
+	}
+	return true
+}
+
+// widen begins a round that asks all agents that have not denied the flow.
+func (s *search) widen(now model.Instant, view *View) {
+	s.wide, s.round, s.copies, s.asked = true, now, 0, nil
+	for vm, agent := range view.Agents {
+		if agent.State != AgentGone && !s.denied[vm] {
+			s.asked = append(s.asked, vm)
+		}
+	}
+}
+
+// spend takes copies from the budget, unless it is used up.
+func (t *Table) spend(now model.Instant, copies int) bool {
+	t.credit = min(copyBurst, t.credit+copyRate*now.Sub(t.credited).Seconds())
+	t.credited = now
+	if t.credit < float64(copies) {
+		return false
+	}
+	t.credit -= float64(copies)
+	return true
 }
 
 // Denied takes an agent's word that it does not hold a flow. The packet is one
@@ -342,10 +404,14 @@
 	if known.agent.IsValid() || known.search == nil {
 		return Verdict{Reason: ReasonKnown}
 	}
-	known.search.denied[agent] = true
-	if t.notFound(now, known.search) {
+	s := known.search
+	s.denied[agent] = true
+	if t.notFound(now, s) {
 		return t.giveUp(key, known, ReasonNotFound)
 	}
+	if !s.wide && s.exhausted() {
+		return t.find(now, key, known, agent)
+	}
 	return Verdict{Reason: ReasonSearching}
 }
 
@@ -424,7 +490,7 @@
 	var losses []Loss
 	for key, known := range t.records {
 		switch {
-		case known.heard && now.Sub(known.seen) > idle+searchTime,
+		case known.heard && now.Sub(known.seen) > idle+roundTime,
 			now.Sub(known.seen) > max(idle, t.limits.Lifetime):
 			delete(t.records, key)
 		case lost[known.agent] && known.heard && known.opened:
--- a/internal/packetlb/balancer.go
+++ b/internal/packetlb/balancer.go
@@ -124,9 +124,8 @@
 
 // published is what traffic needs of the control state. It is immutable.
 type published struct {
-	view   *flowsteer.View
-	known  packetnode.Stamp
-	agents []netip.Addr
+	view  *flowsteer.View
+	known packetnode.Stamp
 }
 
 // Start implements kernel.Module.
@@ -251,13 +250,9 @@
 		agent := agentOf(node)
 		view.Agents[vm] = agent
 		if !agent.Met {
-			next.agents = append(next.agents, vm)
 			continue
 		}
 		view.ByService[agent.Service] = append(view.ByService[agent.Service], agent)
-		if agent.State != flowsteer.AgentGone {
-			next.agents = append(next.agents, vm)
-		}
 	}
 	for _, agents := range view.ByService {
 		slices.SortFunc(agents, func(a, b *flowsteer.Agent) int { return a.VM.Compare(b.VM) })
--- a/internal/packetlb/traffic.go
+++ b/internal/packetlb/traffic.go
@@ -106,10 +106,8 @@
 	case flowsteer.ActionForward:
 		s.forward(verdict.Agent, packet, false)
 	case flowsteer.ActionSearch:
-		for _, vm := range s.view.Load().agents {
-			if vm != verdict.Agent {
-				s.forward(vm, packet, true)
-			}
+		for _, vm := range verdict.Agents {
+			s.forward(vm, packet, true)
 		}
 	case flowsteer.ActionReset:
 		s.reset(key, verdict.Sequence)
@@ -133,12 +131,13 @@
 // note logs a decision that concerns a flow as a whole. Packets that follow the
 // known way of their flow are counted only.
 func (b *balancer) note(key flow.Key, verdict flowsteer.Verdict) {
-	if verdict.Reason == flowsteer.ReasonKnown || verdict.Reason == flowsteer.ReasonEnded || verdict.Reason == flowsteer.ReasonSearching {
+	if verdict.Reason == flowsteer.ReasonKnown || verdict.Reason == flowsteer.ReasonEnded || verdict.Reason == flowsteer.ReasonSearching ||
+		verdict.Reason == flowsteer.ReasonSearchBudget {
 		return
 	}
 	published := b.view.Load()
 	fields := logrus.Fields{
-		"flow": key, "action": verdict.Action, "reason": verdict.Reason, "agent": verdict.Agent, "as_of": published.known.AsOf,
+		"flow": key, "action": verdict.Action, "reason": verdict.Reason, "agent": verdict.Agent, "asked": len(verdict.Agents), "as_of": published.known.AsOf,
 		"state_age_ms": model.Now().Sub(published.view.Proven).Milliseconds(),
 	}
 	if published.view.State != nil && published.view.State.Config != nil {
