Ask the store again every tenth of a second while no state is known

Ruled out: start-up (50 ms), peers (none knew a state), timeouts (the store answered at once). Test: TestNodeWithoutStateAsksAgainSoon failed first. Also: datagrams about flows are taken from known agents only.

--- a/internal/packetlb/metrics.go
+++ b/internal/packetlb/metrics.go
@@ -10,9 +10,9 @@
 
 // metrics counts what the balancer does.
 type metrics struct {
-	malformed, readFailed, sendFailed, claimed *observe.Counter
-	verdicts                                   [flowsteer.ActionCount][flowsteer.ReasonCount]*observe.Counter
-	returned                                   [door.ReasonCount]*observe.Counter
+	malformed, foreign, readFailed, sendFailed, claimed *observe.Counter
+	verdicts                                            [flowsteer.ActionCount][flowsteer.ReasonCount]*observe.Counter
+	returned                                            [door.ReasonCount]*observe.Counter
 	// logs holds a budget of lines for each action.
 	logs [flowsteer.ActionCount]*observe.LimitedLog
 }
@@ -20,6 +20,7 @@
 func newMetrics(c *observe.Counters, log *logrus.Entry, flows func() int64) *metrics {
 	m := &metrics{
 		malformed:  c.Counter("packets_malformed", "Packets dropped: malformed."),
+		foreign:    c.Counter("packets_foreign", "Datagrams dropped: from a VM that is no known agent's."),
 		readFailed: c.Counter("packets_read_failed", "Failed reads of the fabric's packets."),
 		sendFailed: c.Counter("packets_send_failed", "Packets that could not be sent."),
 		claimed:    c.Counter("flows_claimed", "Flows that agents have told of."),
--- a/internal/packetlb/traffic.go
+++ b/internal/packetlb/traffic.go
@@ -57,6 +57,9 @@
 		b.metrics.malformed.Inc()
 		return
 	}
+	if !b.knows(from) {
+		return
+	}
 	b.node.Want(returned.Known)
 	b.metrics.returned[returned.Reason].Inc()
 	now := model.Now()
@@ -71,6 +74,16 @@
 	b.returns.carryOut(p.FromClient(), verdict, returned.Packet)
 }
 
+// knows reports whether a VM is that of a known agent, and counts it if not: no
+// other VM has a say on where flows are.
+func (b *balancer) knows(from netip.Addr) bool {
+	known := b.view.Load().view.Agents[from] != nil
+	if !known {
+		b.metrics.foreign.Inc()
+	}
+	return known
+}
+
 // takeClaims takes an agent's word that it holds flows.
 func (b *balancer) takeClaims(from netip.Addr, datagram []byte) {
 	keys, err := packetnode.ParseKeys(datagram)
@@ -78,6 +91,9 @@
 		b.metrics.malformed.Inc()
 		return
 	}
+	if !b.knows(from) {
+		return
+	}
 	now := model.Now()
 	b.metrics.claimed.Add(int64(len(keys)))
 	b.mu.Lock()
--- a/internal/packetnode/packetnode_test.go
+++ b/internal/packetnode/packetnode_test.go
@@ -195,6 +195,22 @@
 
 // The store's version rises with every write of any node; packets that name a
 // later one must not make a node read the same state again.
+// A node that knows no state serves nothing: it asks the store again much sooner
+// than one that only wants its proof renewed.
+func TestNodeWithoutStateAsksAgainSoon(t *testing.T) {
+	fails := func(urgent bool) time.Duration {
+		var p pause
+		now := start
+		for range 10 {
+			p.failed(now, urgent)
+			now = p.next
+		}
+		return now.Sub(start) / 10
+	}
+	require.LessOrEqual(t, fails(true), 150*time.Millisecond)
+	require.GreaterOrEqual(t, fails(false), 700*time.Millisecond, "calls are paid for")
+}
+
 func TestOnlyAnotherStateIsAskedFor(t *testing.T) {
 	n := &Node{knowledge: &Knowledge{}}
 	n.Want(Stamp{AsOf: 3, Print: 1})
--- a/internal/packetnode/store.go
+++ b/internal/packetnode/store.go
@@ -31,6 +31,10 @@
 	// what it grows to. Calls are paid for also while the store is away.
 	retryInterval    = 250 * time.Millisecond
 	maxRetryInterval = time.Second
+	// urgentInterval is the time after a failed call of a node that can't serve
+	// before it succeeds: every tenth of a second without service is seen by
+	// callers whose aims are 200 ms.
+	urgentInterval = 100 * time.Millisecond
 	// storeTimeout bounds a chain of store calls, and peerTimeout a call of a
 	// peer.
 	storeTimeout = 3 * time.Second
@@ -45,7 +49,11 @@
 
 func (p *pause) over(now model.Instant) bool { return now >= p.next }
 
-func (p *pause) failed(now model.Instant) {
+func (p *pause) failed(now model.Instant, urgent bool) {
+	if urgent {
+		p.next = now.Add(urgentInterval)
+		return
+	}
 	p.after = min(max(retryInterval, 2*p.after), maxRetryInterval)
 	p.next = now.Add(p.after)
 }
@@ -203,7 +211,7 @@
 		return
 	}
 	n.metrics.storeFailed.Inc()
-	r.pause.failed(now)
+	r.pause.failed(now, n.knowledge.state == nil)
 	if !r.lost {
 		r.lost = true
 		n.log.WithError(result.err).WithField("state_age_ms", n.knowledge.Age(now).Milliseconds()).Warn("store_lost")
@@ -214,7 +222,7 @@
 	state, malformed, err := n.operators.Decode(result.document)
 	if err != nil {
 		n.log.WithError(err).WithField("as_of", result.document.AsOf).Error("state_refused")
-		r.pause.failed(now)
+		r.pause.failed(now, false)
 		return
 	}
 	if result.from.IsValid() {
@@ -271,7 +279,7 @@
 	if err != nil {
 		n.metrics.storeFailed.Inc()
 		n.log.WithError(err).Debug("registration_failed")
-		r.pause.failed(now)
+		r.pause.failed(now, r.lease == 0)
 		return
 	}
 	if lease != r.lease {
@@ -335,7 +343,7 @@
 
 func (l *lookup) tick(n *Node, now model.Instant) {
 	if !l.listed && l.seeds.over(now) {
-		l.seeds.failed(now)
+		l.seeds.failed(now, false)
 		n.greetSeeds(now)
 	}
 	if l.busy || !l.pause.over(now) || n.lease.lease == 0 {
@@ -364,7 +372,7 @@
 	l.busy = false
 	if err != nil {
 		n.metrics.storeFailed.Inc()
-		l.pause.failed(now)
+		l.pause.failed(now, !l.listed)
 		return
 	}
 	l.listed = l.listed || exact
