--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -285,10 +285,10 @@
 			b.enter(key(2, feedAddress))
 			b.request(key(2, feedAddress))
 			b.answer(key(1, feedAddress), flow.Ack|flow.End, 100)
-			require.Empty(t, b.door.Losses())
+			require.Empty(t, b.door.Losses(b.now, 0))
 			end(b)
 			lost := map[flow.Key]uint32{}
-			for _, loss := range b.door.Losses() {
+			for _, loss := range b.door.Losses(b.now, 0) {
 				lost[loss.Key] = loss.Sequence
 			}
 			require.Equal(t, map[flow.Key]uint32{key(0, feedAddress): 0, key(2, feedAddress): 7}, lost,
@@ -298,6 +298,26 @@
 	}
 }
 
+// The last answers of a target that has departed may still be on their way; its
+// idle flows are given up at once, before their clients use them in vain.
+func TestLastAnswersOfADepartedTargetArrive(t *testing.T) {
+	b := newBench(t)
+	require.NoError(t, b.announce(nil))
+	b.enter(key(1, feedAddress))
+	b.enter(key(2, feedAddress))
+	for n := 1; n <= 2; n++ {
+		b.request(key(n, feedAddress))
+		b.answer(key(n, feedAddress), flow.Ack, 100)
+		b.now = b.now.Add(200 * time.Millisecond)
+	}
+	require.NoError(t, b.door.Depart(door.Departure{ID: "i-1"}))
+	losses := b.door.Losses(b.now, 250*time.Millisecond)
+	require.Len(t, losses, 1)
+	require.Equal(t, key(1, feedAddress), losses[0].Key)
+	b.now = b.now.Add(50 * time.Millisecond)
+	require.Len(t, b.door.Losses(b.now, 250*time.Millisecond), 1)
+}
+
 func TestAgentDeniesOnlyWhatItKnows(t *testing.T) {
 	b := newBench(t)
 	p := flow.Packet{Source: key(1, feedAddress).Client, Destination: feedAddress, Flags: flow.Ack}
--- a/internal/door/flows.go
+++ b/internal/door/flows.go
@@ -155,10 +155,14 @@
 }
 
 // Losses removes the flows whose incarnation of the target has ended, and returns
-// those that the target had not closed itself.
-func (d *Door) Losses() []Loss {
+// those that the target had not closed itself. Flows that had a packet within the
+// settling time are left for later: a last answer may still be on its way.
+func (d *Door) Losses(now model.Instant, settling time.Duration) []Loss {
 	var losses []Loss
 	for key, known := range d.flows {
+		if now.Sub(max(known.lastIn, known.lastOut)) < settling {
+			continue
+		}
 		if d.target.Gone || (known.born != 0 && known.born != d.target.Born) {
 			if !known.endedByTarget {
 				losses = append(losses, Loss{Key: key, Sequence: known.clientAck})
--- a/internal/flowsteer/world_test.go
+++ b/internal/flowsteer/world_test.go
@@ -312,7 +312,7 @@
 }
 
 func (w *world) giveUp(a *worldAgent) {
-	for _, loss := range a.door.Losses() {
+	for _, loss := range a.door.Losses(w.now, 0) {
 		w.reset(loss.Key, "target ended")
 	}
 }
--- a/internal/packetagent/agent.go
+++ b/internal/packetagent/agent.go
@@ -32,6 +32,10 @@
 	goodbyes = 2
 	// goodbyePause is the time after each of them.
 	goodbyePause = 5 * time.Millisecond
+	// settleTime is how long a flow must rest before it is given up after its
+	// target has departed. It exceeds the time to any client, and a copy of a lost
+	// packet.
+	settleTime = 250 * time.Millisecond
 	// expireInterval is the time between two looks for flows that have ended.
 	expireInterval = time.Second
 	// refusalLogRate and the others are budgets of log lines a second, each kind of
@@ -176,7 +180,9 @@
 	}
 	a.log.WithFields(logrus.Fields{"state": state, "target": target.ID, "draining": target.Draining}).Info("agent_leaving")
 	if target.Gone {
-		a.giveUp("target_departed")
+		// Its last answers go out first.
+		time.Sleep(settleTime)
+		a.giveUp("target_departed", 0)
 	}
 	for range goodbyes {
 		a.node.SetState(state)
@@ -231,6 +237,7 @@
 	a.admit(now, a.view.Load())
 	a.mu.Unlock()
 	a.flushClaims()
+	a.giveUpDeparted()
 	a.watch.tick(a, now)
 	if now.Sub(a.expired) >= expireInterval {
 		a.expired = now
@@ -240,6 +247,17 @@
 	}
 }
 
+// giveUpDeparted resets the idle flows of a target that has departed, before
+// their clients send requests in vain.
+func (a *agent) giveUpDeparted() {
+	a.mu.Lock()
+	gone := a.door.Target().Gone
+	a.mu.Unlock()
+	if gone {
+		a.giveUp("target_departed", settleTime)
+	}
+}
+
 func idleTimeout(state *routing.State) time.Duration {
 	if state == nil || state.Config == nil {
 		return 0
@@ -272,10 +290,11 @@
 	}
 }
 
-// giveUp resets the flows whose target has ended.
-func (a *agent) giveUp(why string) {
+// giveUp resets the flows whose target has ended, but for those that had a packet
+// within the settling time.
+func (a *agent) giveUp(why string, settling time.Duration) {
 	a.mu.Lock()
-	losses := a.door.Losses()
+	losses := a.door.Losses(model.Now(), settling)
 	a.mu.Unlock()
 	for _, loss := range losses {
 		a.reset(loss.Key, loss.Sequence, why)
--- a/internal/packetagent/target.go
+++ b/internal/packetagent/target.go
@@ -69,7 +69,7 @@
 	}
 	if lost {
 		a.log.WithError(result.Err).Warn("target_lost")
-		a.giveUp("target_lost")
+		a.giveUp("target_lost", 0)
 		a.node.Announce()
 	}
 }
@@ -93,7 +93,7 @@
 	}
 	a.metrics.announcements.Inc()
 	if restarted {
-		a.giveUp("target_restarted")
+		a.giveUp("target_restarted", 0)
 	}
 	if ready != wasReady || before.ID != announcement.ID || before.Draining != announcement.Draining {
 		a.log.WithFields(fields).WithField("open", ready).Info("target_changed")
@@ -114,8 +114,8 @@
 		return err
 	}
 	a.log.WithFields(fields).Info("target_departed")
-	// Its last answers may still be on their way. Flows are given up when their
-	// clients send again, or when the agent ends.
+	// Its last answers may still be on their way, so that its flows are given up
+	// when they have come to rest.
 	a.node.Announce()
 	return nil
 }
--- a/internal/packetagent/traffic.go
+++ b/internal/packetagent/traffic.go
@@ -132,7 +132,7 @@
 	case door.NotHere:
 		a.refuse(from, key, forward.Packet, door.ReasonUnknownFlow, a.view.Load())
 	case door.Dead:
-		a.giveUp("target_ended")
+		a.giveUp("target_ended", 0)
 	}
 }
 
--- a/internal/packetlb/traffic.go
+++ b/internal/packetlb/traffic.go
@@ -153,9 +153,15 @@
 	}
 	published := b.view.Load()
 	fields := logrus.Fields{
-		"flow": key, "action": verdict.Action, "reason": verdict.Reason, "agent": verdict.Agent, "asked": len(verdict.Agents), "as_of": published.known.AsOf,
+		"flow": key, "action": verdict.Action, "reason": verdict.Reason, "as_of": published.known.AsOf,
 		"state_age_ms": model.Now().Sub(published.view.Proven).Milliseconds(),
 	}
+	if verdict.Agent.IsValid() {
+		fields["agent"] = verdict.Agent
+	}
+	if len(verdict.Agents) > 0 {
+		fields["asked"] = len(verdict.Agents)
+	}
 	if published.view.State != nil && published.view.State.Config != nil {
 		fields["version"] = published.view.State.Config.Version
 	}
