--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -113,7 +113,7 @@
 }
 
 func (b *bench) answer(key flow.Key, flags flow.Flags, length int) bool {
-	return b.door.Sent(b.now, flow.Packet{Source: key.Service, Destination: key.Client, Flags: flags, Length: length})
+	return b.door.Sent(b.now, flow.Packet{Source: key.Service, Destination: key.Client, Flags: flags, Length: length}).Tell
 }
 
 func TestNewFlowsAreCheckedAgainstTheOperatorsState(t *testing.T) {
--- a/internal/door/flows.go
+++ b/internal/door/flows.go
@@ -23,6 +23,7 @@
 	// busy tells that the target owes the client an answer. It begins with data
 	// that the client has not sent before, up to the sequence number next.
 	busy    bool
+	asked   model.Instant
 	next    uint32
 	started bool
 	// fresh tells that the client's first request is still to come.
@@ -72,7 +73,7 @@
 	}
 	if p.Length > 0 {
 		d.spend(known)
-		d.request(known, p)
+		d.request(now, known, p)
 	}
 	if p.Flags.Has(flow.Reset) {
 		d.remove(p.FromClient(), known)
@@ -81,14 +82,14 @@
 }
 
 // request notes a client's data, unless it was sent before.
-func (d *Door) request(known *entry, p flow.Packet) {
+func (d *Door) request(now model.Instant, known *entry, p flow.Packet) {
 	next := p.Sequence + uint32(p.Length)
 	if known.started && int32(next-known.next) <= 0 {
 		return
 	}
 	known.started, known.next = true, next
 	if !known.busy {
-		known.busy = true
+		known.busy, known.asked = true, now
 		d.busy++
 	}
 }
@@ -101,14 +102,24 @@
 	}
 }
 
-// Sent takes note of a packet that the target sent to a client. It reports
-// whether the balancers should be told that the flow is here.
-func (d *Door) Sent(now model.Instant, p flow.Packet) (tell bool) {
+// Outgoing is what a packet of the target tells.
+type Outgoing struct {
+	// Tell asks to tell the balancers that the flow is here.
+	Tell bool
+	// Answered tells that the packet begins the answer to a request that came After
+	// before.
+	Answered bool
+	After    time.Duration
+}
+
+// Sent takes note of a packet that the target sent to a client.
+func (d *Door) Sent(now model.Instant, p flow.Packet) Outgoing {
+	var out Outgoing
 	key := p.ToClient()
 	known := d.flows[key]
 	if known == nil {
 		if p.Flags.Has(flow.Reset) || len(d.flows) >= d.config.MaxFlows {
-			return false
+			return Outgoing{}
 		}
 		known = &entry{born: d.target.Born, lastIn: now}
 		d.flows[key] = known
@@ -116,7 +127,7 @@
 	known.lastOut = now
 	if p.Flags.Has(flow.Reset) {
 		d.remove(key, known)
-		return false
+		return Outgoing{}
 	}
 	if p.Flags.Has(flow.End) {
 		known.endedByTarget = true
@@ -124,11 +135,12 @@
 	if known.busy && (p.Length > 0 || known.endedByTarget) {
 		known.busy = false
 		d.busy--
+		out.Answered, out.After = p.Length > 0, now.Sub(known.asked)
 	}
 	known.open = known.open || !p.Flags.Has(flow.Open)
-	tell = known.open && !known.told
+	out.Tell = known.open && !known.told
 	known.told = known.told || known.open
-	return tell
+	return out
 }
 
 // Returned takes note that the target returned a packet of a flow.
--- a/internal/flowsteer/world_test.go
+++ b/internal/flowsteer/world_test.go
@@ -275,7 +275,7 @@
 // it.
 func (w *world) answer(a *worldAgent, balancer int, key flow.Key) {
 	a.target.used[key] = w.now
-	if a.door.Sent(w.now, flow.Packet{Source: key.Service, Destination: key.Client, Flags: flow.Ack, Length: 10}) {
+	if a.door.Sent(w.now, flow.Packet{Source: key.Service, Destination: key.Client, Flags: flow.Ack, Length: 10}).Tell {
 		w.letters = append(w.letters, letter{
 			agent: w.agentAt(a.vm), balancer: balancer, packet: flow.Packet{Source: key.Client, Destination: key.Service, Flags: flow.Ack},
 			claim: true, sent: w.now,
--- a/internal/packetagent/metrics.go
+++ b/internal/packetagent/metrics.go
@@ -14,6 +14,9 @@
 	announcements, announcementsRefused, announcementsMalformed, looks *observe.Counter
 	refused                                                            [door.ReasonCount]*observe.Counter
 
+	// answer is the time from a request to the first packet of its answer.
+	answer *observe.Histogram
+
 	refusalLog, resetLog, searchLog, announceLog *observe.LimitedLog
 }
 
@@ -39,6 +42,7 @@
 	for reason := door.ReasonNoState; int(reason) < door.ReasonCount; reason++ {
 		m.refused[reason] = c.Counter("packets_refused_"+reason.String(), "Packets returned to their balancer: "+reason.String()+".")
 	}
+	m.answer = c.Histogram("target_answer", "Time from a client's request to the target's first answer, in microseconds.")
 	suppressed := c.Counter("log_suppressed", "Log lines left out to stay within their budget.")
 	m.refusalLog = observe.NewLimitedLog(log, logRate, logBurst, suppressed)
 	m.resetLog = observe.NewLimitedLog(log, logRate, logBurst, suppressed)
--- a/internal/packetagent/traffic.go
+++ b/internal/packetagent/traffic.go
@@ -179,14 +179,17 @@
 	key := p.ToClient()
 	a.mu.Lock()
 	now := model.Now()
-	tell := a.door.Sent(now, p)
+	out := a.door.Sent(now, p)
 	a.admit(now, a.view.Load())
 	balancer := a.door.Balancer(key)
-	if tell {
+	if out.Tell {
 		a.claims.add(key, balancer)
 	}
 	a.mu.Unlock()
 	a.metrics.sent.Inc()
+	if out.Answered {
+		a.metrics.answer.Observe(out.After)
+	}
 	a.sendToClient(p.Destination, packet)
 }
 
--- a/internal/packetlb/traffic.go
+++ b/internal/packetlb/traffic.go
@@ -116,8 +116,7 @@
 
 // carryOut does what a verdict says with a packet.
 func (s *sender) carryOut(key flow.Key, verdict flowsteer.Verdict, packet []byte) {
-	s.metrics.verdicts[verdict.Action][verdict.Reason].Inc()
-	s.note(key, verdict)
+	s.record(key, verdict)
 	switch verdict.Action {
 	case flowsteer.ActionForward:
 		s.forward(verdict.Agent, packet, false)
@@ -144,9 +143,10 @@
 	}
 }
 
-// note logs a decision that concerns a flow as a whole. Packets that follow the
-// known way of their flow are counted only.
-func (b *balancer) note(key flow.Key, verdict flowsteer.Verdict) {
+// record counts a decision, and logs one that concerns a flow as a whole. Packets
+// that follow the known way of their flow are counted only.
+func (b *balancer) record(key flow.Key, verdict flowsteer.Verdict) {
+	b.metrics.verdicts[verdict.Action][verdict.Reason].Inc()
 	if verdict.Reason == flowsteer.ReasonKnown || verdict.Reason == flowsteer.ReasonEnded || verdict.Reason == flowsteer.ReasonSearching ||
 		verdict.Reason == flowsteer.ReasonSearchBudget {
 		return
--- a/internal/packetnode/settings.go
+++ b/internal/packetnode/settings.go
@@ -31,11 +31,13 @@
 	// Name names the node in logs.
 	Name string `json:"name"`
 	// VM is the address of the VM, which identifies the node to others.
-	VM   netip.Addr `json:"vm"`
+	VM netip.Addr `json:"vm"`
+	// Zone is the availability zone of the VM.
 	Zone model.Zone `json:"zone"`
 	// Zones are all availability zones.
-	Zones    []model.Zone `json:"zones"`
-	LogLevel string       `json:"log_level,omitempty"`
+	Zones []model.Zone `json:"zones"`
+	// LogLevel is a level of logrus; empty means "info".
+	LogLevel string `json:"log_level,omitempty"`
 	// Packets is the UDP address at which the fabric delivers packets. Clients
 	// have its port.
 	Packets netip.AddrPort `json:"packets"`
@@ -64,12 +66,15 @@
 
 // Underlay names the plug-in for the platform with its settings.
 type Underlay struct {
-	Plugin   string          `json:"plugin"`
+	// Plugin is the registered name of the plug-in.
+	Plugin string `json:"plugin"`
+	// Settings are the plug-in's own.
 	Settings json.RawMessage `json:"settings"`
 }
 
 // Target describes the target beside an agent.
 type Target struct {
+	// Service is the service of the target.
 	Service model.Service `json:"service"`
 	// Address is where the target takes packets (UDP) and health checks (TCP).
 	Address netip.AddrPort `json:"address"`
--- a/internal/platform/httpcall/httpcall.go
+++ b/internal/platform/httpcall/httpcall.go
@@ -97,6 +97,7 @@
 	unavailable *observe.Counter
 	unknown     *observe.Counter
 	rotations   *observe.Counter
+	latency     *observe.Histogram
 }
 
 func newMetrics(counters *observe.Counters) metrics {
@@ -106,6 +107,7 @@
 		overBudget:  counters.Counter("platform_over_budget", "Calls left out since the process's budget of calls was used up."),
 		unavailable: counters.Counter("platform_unavailable", "Attempts that had no effect since the service refused or could not be reached."),
 		unknown:     counters.Counter("platform_unknown_outcome", "Attempts whose answer was missing or malformed."),
+		latency:     counters.Histogram("platform_call", "Time that an attempt of a call of the platform's service took, in microseconds."),
 		rotations:   counters.Counter("platform_address_changes", "Changes to another address of the platform's service."),
 	}
 }
@@ -157,7 +159,9 @@
 		if attempt > 1 {
 			c.metrics.repeats.Inc()
 		}
+		begun := time.Now()
 		err := c.attempt(ctx, call, answer)
+		c.metrics.latency.Observe(time.Since(begun))
 		c.metrics.count(err)
 		if err != nil && !retryable(call, err) {
 			err = backoff.Permanent(err)
--- a/internal/platform/httpkv/httpkv_test.go
+++ b/internal/platform/httpkv/httpkv_test.go
@@ -276,7 +276,7 @@
 	counters := observe.NewCounters()
 	env := kernel.Env{Path: "node.platform.settings", Counters: counters}
 	require.NoError(t, module.Provision(env, json.RawMessage(`{"addresses":["127.0.0.1:1"]}`)))
-	require.Len(t, counters.Metrics(), 6)
+	require.Len(t, counters.Metrics(), 7)
 	bad := map[string]string{
 		`{"addresses":[]}`:                                "node.platform.settings.addresses: []",
 		`{"addresses":["127.0.0.1:1","host:1"]}`:          `node.platform.settings.addresses[1]: "host:1"`,
--- a/internal/settings/reference/reference.go
+++ b/internal/settings/reference/reference.go
@@ -4,13 +4,16 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 
 	"github.com/balsamlink/balsamlink/internal/fabric/proxyv2"
+	"github.com/balsamlink/balsamlink/internal/packetnode"
 	"github.com/balsamlink/balsamlink/internal/platform/httpkv"
 	"github.com/balsamlink/balsamlink/internal/settings"
 	"github.com/balsamlink/balsamlink/internal/strictjson"
 	"github.com/balsamlink/balsamlink/internal/target/http1"
+	"github.com/balsamlink/balsamlink/platform"
 )
 
 const module = "github.com/balsamlink/balsamlink"
@@ -37,6 +40,11 @@
 	if err != nil {
 		return "", err
 	}
+	adapter, err := strictjson.ReadComments(module, "./platform")
+	if err != nil {
+		return "", err
+	}
+	maps.Copy(comments, adapter)
 	var page strings.Builder
 	page.WriteString(introduction)
 	for _, describe := range []func(strictjson.Comments) (section, error){
@@ -46,6 +54,8 @@
 		sectionOf[httpkv.Settings]("Platform plug-in \"httpkv\""),
 		sectionOf[proxyv2.Settings]("Fabric plug-in \"proxyv2\""),
 		sectionOf[http1.Settings]("Target plug-in \"http1\""),
+		sectionOf[packetnode.Settings]("balsampktlb and balsampktagent (the latter has a target)"),
+		sectionOf[platform.Settings]("Underlay plug-in \"kvhttp\""),
 	} {
 		section, err := describe(comments)
 		if err != nil {
