--- a/internal/flowsteer/place.go
+++ b/internal/flowsteer/place.go
@@ -113,37 +113,6 @@
 	return agents
 }
 
-// likely returns the agents that an open flow is most likely found at: those in
-// each zone at which its services would have been placed.
-func (t *Table) likely(key flow.Key) []netip.Addr {
-	if t.view.State == nil || t.view.State.Config == nil {
-		return nil
-	}
-	route := t.view.State.Config.Routes[key.Service]
-	if route == nil {
-		return nil
-	}
-	var vms []netip.Addr
-	for _, choice := range route.Choices {
-		zones := map[model.Zone]*nearest{}
-		for _, agent := range t.view.ByService[choice.Service] {
-			if agent.State == AgentGone {
-				continue
-			}
-			if zones[agent.Zone] == nil {
-				zones[agent.Zone] = &nearest{}
-			}
-			zones[agent.Zone].offer(agent, key.Rank(agent.VM), false)
-		}
-		for _, zone := range zones {
-			for _, agent := range zone.agents() {
-				vms = append(vms, agent.VM)
-			}
-		}
-	}
-	return vms
-}
-
 // cost is the expected load of an agent's target with one more flow, in flows
 // per slot.
 func (t *Table) cost(agent *Agent) float64 {
--- a/internal/packetagent/agent.go
+++ b/internal/packetagent/agent.go
@@ -46,31 +46,19 @@
 
 // Run runs an agent until it is told to end.
 func Run(ctx context.Context, settings packetnode.Settings, log *logrus.Entry) error {
-	base, own, err := assemble(settings, log)
-	if err != nil {
-		return err
-	}
-	return base.Run(ctx, own.part(), own.apply)
+	return packetnode.Run(ctx, settings, log, newAgent)
 }
 
 // Check checks settings without opening anything.
 func Check(settings packetnode.Settings, log *logrus.Entry) error {
-	base, own, err := assemble(settings, log)
-	if err != nil {
-		return err
-	}
-	return base.Check(own.part())
+	return packetnode.Check(settings, log, newAgent)
 }
 
-func assemble(settings packetnode.Settings, log *logrus.Entry) (*packetnode.Base, *agent, error) {
-	if settings.Target == nil {
-		return nil, nil, kernel.Usage(Error.New("target: missing; allowed: the target beside the agent"))
-	}
-	base, err := packetnode.NewBase(settings, log)
-	if err != nil {
-		return nil, nil, err
+func newAgent(base *packetnode.Base) (packetnode.Own, error) {
+	if base.Settings.Target == nil {
+		return nil, Error.New("target: missing; allowed: the target beside the agent")
 	}
-	return base, &agent{base: base, settings: settings, log: log}, nil
+	return &agent{base: base, settings: base.Settings, log: base.Log}, nil
 }
 
 // agent is the agent's own part of the process.
@@ -97,10 +85,11 @@
 	claims  claims
 }
 
-func (a *agent) part() kernel.Part { return kernel.Part{Name: "agent", Module: a} }
+// Name implements packetnode.Own.
+func (a *agent) Name() string { return "agent" }
 
-// apply takes settings that have changed while the process runs.
-func (a *agent) apply(settings packetnode.Settings) {
+// Apply implements packetnode.Own.
+func (a *agent) Apply(settings packetnode.Settings) {
 	if a.node == nil || settings.Target == nil {
 		return
 	}
--- a/internal/packetlb/balancer.go
+++ b/internal/packetlb/balancer.go
@@ -52,31 +52,19 @@
 
 // Run runs a balancer until it is told to end.
 func Run(ctx context.Context, settings packetnode.Settings, log *logrus.Entry) error {
-	base, own, err := assemble(settings, log)
-	if err != nil {
-		return err
-	}
-	return base.Run(ctx, own.part(), own.apply)
+	return packetnode.Run(ctx, settings, log, newBalancer)
 }
 
 // Check checks settings without opening anything.
 func Check(settings packetnode.Settings, log *logrus.Entry) error {
-	base, own, err := assemble(settings, log)
-	if err != nil {
-		return err
-	}
-	return base.Check(own.part())
+	return packetnode.Check(settings, log, newBalancer)
 }
 
-func assemble(settings packetnode.Settings, log *logrus.Entry) (*packetnode.Base, *balancer, error) {
-	if settings.Target != nil {
-		return nil, nil, kernel.Usage(Error.New("target: present; allowed: none, since a balancer has no target"))
-	}
-	base, err := packetnode.NewBase(settings, log)
-	if err != nil {
-		return nil, nil, err
+func newBalancer(base *packetnode.Base) (packetnode.Own, error) {
+	if base.Settings.Target != nil {
+		return nil, Error.New("target: present; allowed: none, since a balancer has no target")
 	}
-	return base, &balancer{base: base, settings: settings, log: log}, nil
+	return &balancer{base: base, settings: base.Settings, log: base.Log}, nil
 }
 
 // balancer is the balancer's own part of the process.
@@ -113,10 +101,11 @@
 	table *flowsteer.Table
 }
 
-func (b *balancer) part() kernel.Part { return kernel.Part{Name: "balancer", Module: b} }
+// Name implements packetnode.Own.
+func (b *balancer) Name() string { return "balancer" }
 
-// apply takes settings that have changed while the process runs.
-func (b *balancer) apply(settings packetnode.Settings) {
+// Apply implements packetnode.Own.
+func (b *balancer) Apply(settings packetnode.Settings) {
 	if b.node != nil {
 		b.node.Apply(settings)
 	}
--- a/internal/packetnode/process.go
+++ b/internal/packetnode/process.go
@@ -40,8 +40,47 @@
 	part kernel.Part
 }
 
-// NewBase fits the plug-in for the platform.
-func NewBase(settings Settings, log *logrus.Entry) (*Base, error) {
+// Own is a role's own part of a process.
+type Own interface {
+	kernel.Module
+	// Name names the part in logs and errors.
+	Name() string
+	// Apply takes settings that have changed while the process runs.
+	Apply(settings Settings)
+}
+
+// Run runs a process of a role until it is told to end.
+func Run(ctx context.Context, settings Settings, log *logrus.Entry, role func(*Base) (Own, error)) error {
+	base, own, err := assemble(settings, log, role)
+	if err != nil {
+		return err
+	}
+	return base.run(ctx, own)
+}
+
+// Check checks the settings of a role without opening anything.
+func Check(settings Settings, log *logrus.Entry, role func(*Base) (Own, error)) error {
+	base, own, err := assemble(settings, log, role)
+	if err != nil {
+		return err
+	}
+	return kernel.Check(log, base.parts(own))
+}
+
+func assemble(settings Settings, log *logrus.Entry, role func(*Base) (Own, error)) (*Base, Own, error) {
+	base, err := newBase(settings, log)
+	if err != nil {
+		return nil, nil, err
+	}
+	own, err := role(base)
+	if err != nil {
+		return nil, nil, kernel.Usage(err)
+	}
+	return base, own, nil
+}
+
+// newBase fits the plug-in for the platform.
+func newBase(settings Settings, log *logrus.Entry) (*Base, error) {
 	edge, part, err := kernel.FitPart[underlay.Underlay](
 		kernel.EdgeUnderlay, settings.Underlay.Plugin, "underlay.settings", settings.Underlay.Settings)
 	if err != nil {
@@ -51,30 +90,27 @@
 	return &Base{Settings: settings, Underlay: edge, Counters: counters, Log: log, part: part}, nil
 }
 
-// Run runs a process with its own part until it is told to end. Settings that
-// change while it runs are handed to apply.
-func (b *Base) Run(ctx context.Context, own kernel.Part, apply func(Settings)) error {
+func (b *Base) parts(own Own) []kernel.Part {
+	return []kernel.Part{b.part, {Name: own.Name(), Module: own}}
+}
+
+func (b *Base) run(ctx context.Context, own Own) error {
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go b.watchSettings(watching, apply)
+	go b.watchSettings(watching, own.Apply)
 	debug.SetMemoryLimit(int64(memoryShare * float64(b.Settings.MemoryMegabytes<<20)))
 	b.Log.WithFields(logrus.Fields{
-		"node": b.Settings.Name, "vm": b.Settings.VM, "zone": b.Settings.Zone, "part": own.Name,
+		"node": b.Settings.Name, "vm": b.Settings.VM, "zone": b.Settings.Zone, "part": own.Name(),
 	}).Info("process_starting")
 	err := kernel.Run(ctx, kernel.Options{
 		Log:          b.Log,
 		Counters:     b.Counters,
 		DrainTimeout: time.Duration(float64(b.Settings.Grace()) * (1 - drainReserve)),
-	}, []kernel.Part{b.part, own})
+	}, b.parts(own))
 	b.Log.WithField("error", err).Info("process_stopped")
 	return err
 }
 
-// Check checks settings without opening anything.
-func (b *Base) Check(own kernel.Part) error {
-	return kernel.Check(b.Log, []kernel.Part{b.part, own})
-}
-
 // Page is an HTTP server for a few callers.
 type Page struct {
 	server *http.Server
