--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
@@ -45,6 +46,47 @@
 	require.EqualValues(t, 7, suppressed.Value())
 }
 
+// blockedWriter takes nothing until it is released.
+type blockedWriter struct{ release chan struct{} }
+
+func (b blockedWriter) Write(line []byte) (int, error) {
+	<-b.release
+	return len(line), nil
+}
+
+func TestOutputNeverBlocks(t *testing.T) {
+	blocked := blockedWriter{release: make(chan struct{})}
+	output := observe.NewOutput(blocked)
+	for range 10_000 {
+		_, err := output.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	require.GreaterOrEqual(t, output.Lost(), int64(10_000-4096-1))
+	close(blocked.release)
+	output.Close()
+
+	var out bytes.Buffer
+	output = observe.NewOutput(&out)
+	_, err := output.Write([]byte("last\n"))
+	require.NoError(t, err)
+	output.Close()
+	require.Equal(t, "last\n", out.String())
+}
+
+func TestHistogramShowsQuantiles(t *testing.T) {
+	counters := observe.NewCounters()
+	histogram := counters.Histogram("call", "Time of a call, in microseconds.")
+	for n := range 100 {
+		histogram.Observe(time.Duration(n) * time.Millisecond)
+	}
+	histogram.Observe(time.Hour)
+	var page map[string]float64
+	require.NoError(t, json.Unmarshal([]byte(histogram.String()), &page))
+	require.EqualValues(t, 101, page["count"])
+	require.InDelta(t, 50_000, page["p50_us"], 1500)
+	require.GreaterOrEqual(t, page["max_us"], 6e7)
+}
+
 func TestOperatorsServer(t *testing.T) {
 	log, err := observe.NewLog(io.Discard, "")
 	require.NoError(t, err)
