Count an agent's silence from when the balancer itself went on after a pause; space registrations by the fleet

Cause: found by reading: a balancer that was frozen or suspended for 5 s hears agents again one by one; as soon as half were heard, the others looked lost and their living flows would be given up. Test: TestBalancerThatWasPausedGivesOthersTime failed first.

--- a/internal/flowsteer/search.go
+++ b/internal/flowsteer/search.go
@@ -100,6 +100,7 @@
 // Denied takes an agent's word that it does not hold a flow. The packet is one
 // that the agent was sent because the table named it, or a copy of a search.
 func (t *Table) Denied(now model.Instant, p flow.Packet, agent netip.Addr) Verdict {
+	t.wake(now)
 	key := p.FromClient()
 	known := t.records[key]
 	if known == nil || !known.heard {
@@ -130,7 +131,7 @@
 		return false
 	}
 	for vm, agent := range t.view.Agents {
-		if !s.denied[vm] && !agent.lost(now) {
+		if !s.denied[vm] && !agent.lost(now, t.resumed) {
 			return false
 		}
 	}
--- a/internal/flowsteer/table.go
+++ b/internal/flowsteer/table.go
@@ -129,6 +129,10 @@
 	started model.Instant
 	limits  Limits
 	view    *View
+	// awake is when the table was last used, and resumed when it was used again
+	// after a pause.
+	awake   model.Instant
+	resumed model.Instant
 	records map[flow.Key]*record
 	// placed counts the new flows of each agent since its last report.
 	placed map[netip.Addr]int
@@ -169,8 +173,17 @@
 // Size returns the number of flows in the table.
 func (t *Table) Size() int { return len(t.records) }
 
+// wake notes the time, and that the balancer was paused.
+func (t *Table) wake(now model.Instant) {
+	if t.awake != 0 && now.Sub(t.awake) > pauseNoticed {
+		t.resumed = now
+	}
+	t.awake = now
+}
+
 // Client decides on a packet from a client.
 func (t *Table) Client(now model.Instant, p flow.Packet) Verdict {
+	t.wake(now)
 	key := p.FromClient()
 	known := t.records[key]
 	if p.Opening() {
@@ -328,7 +341,7 @@
 // given up.
 func (t *Table) agentLost(now model.Instant, vm netip.Addr) bool {
 	agent := t.view.Agents[vm]
-	if agent == nil || !agent.lost(now) {
+	if agent == nil || !agent.lost(now, t.resumed) {
 		return false
 	}
 	return agent.State == AgentGone || (t.settled(now) && t.view.connected(now))
@@ -348,6 +361,7 @@
 // Expire removes flows that have rested for too long, and gives up those whose
 // agent is lost. It is called a few times a second.
 func (t *Table) Expire(now model.Instant) []Loss {
+	t.wake(now)
 	idle := idleFallback
 	if t.view.State != nil && t.view.State.Config != nil && t.view.State.Config.IdleTimeout > 0 {
 		idle = t.view.State.Config.IdleTimeout
--- a/internal/flowsteer/table_test.go
+++ b/internal/flowsteer/table_test.go
@@ -55,6 +55,7 @@
 	// listed tells that the balancer has read who is registered.
 	listed bool
 	now    model.Instant
+	losses []flowsteer.Loss
 }
 
 func newBench(agents ...*flowsteer.Agent) *bench {
@@ -127,9 +128,17 @@
 	for end := b.now.Add(d); b.now < end; {
 		b.now = b.now.Add(min(100*time.Millisecond, end.Sub(b.now)))
 		b.hear(silent...)
+		b.losses = append(b.losses, b.table.Expire(b.now)...)
 	}
 }
 
+// expire returns the flows that were given up since the last call.
+func (b *bench) expire() []flowsteer.Loss {
+	losses := append(b.losses, b.table.Expire(b.now)...)
+	b.losses = nil
+	return losses
+}
+
 func (b *bench) client(p flow.Packet) flowsteer.Verdict { return b.table.Client(b.now, p) }
 
 func TestNewFlowsAreSpreadByLoad(t *testing.T) {
@@ -352,11 +361,11 @@
 			b.client(data(1))
 			b.agents[vm(1)].State = state
 			b.pass(2*time.Second, vm(1))
-			losses := b.table.Expire(b.now)
+			losses := b.expire()
 			if state == flowsteer.AgentRestarting {
 				require.Empty(t, losses, "it has said that its target lives on")
 				b.pass(4*time.Second, vm(1))
-				losses = b.table.Expire(b.now)
+				losses = b.expire()
 			}
 			require.Len(t, losses, 1)
 			require.EqualValues(t, 77, losses[0].Verdict.Sequence)
@@ -371,10 +380,35 @@
 	b.table.Claimed(b.now, data(1).FromClient(), vm(1))
 	b.client(data(1))
 	b.pass(3*time.Second, vm(1), vm(2))
-	require.Empty(t, b.table.Expire(b.now))
+	require.Empty(t, b.expire())
 	require.Equal(t, flowsteer.ActionForward, b.client(data(1)).Action)
 }
 
+// A balancer that was frozen or suspended has heard nobody meanwhile: the first
+// reports that come again must not make those that come a moment later look
+// lost.
+func TestBalancerThatWasPausedGivesOthersTime(t *testing.T) {
+	b := newBench(agent(1, here, feed), agent(2, here, feed), agent(3, here, feed))
+	b.pass(6 * time.Second)
+	b.client(data(1))
+	b.table.Claimed(b.now, data(1).FromClient(), vm(1))
+	b.client(data(1))
+	b.table.Expire(b.now)
+	b.now = b.now.Add(5 * time.Second)
+	b.hear(vm(1))
+	require.Equal(t, flowsteer.ActionForward, b.client(data(1)).Action)
+	require.Empty(t, b.table.Expire(b.now))
+	for range 10 {
+		b.pass(100*time.Millisecond, vm(1))
+		require.Empty(t, b.expire())
+	}
+	for range 5 {
+		b.pass(100*time.Millisecond, vm(1))
+		b.table.Expire(b.now)
+	}
+	require.Zero(t, b.table.Size(), "it does not come back")
+}
+
 func TestTableIsBounded(t *testing.T) {
 	b := newBench(agent(1, here, feed))
 	for n := range 1500 {
--- a/internal/flowsteer/view.go
+++ b/internal/flowsteer/view.go
@@ -79,6 +79,9 @@
 	// minLost is the shortest silence of an agent that is taken as lost. It
 	// exceeds the pause of a process whose share of the processor is used up.
 	minLost = 1200 * time.Millisecond
+	// pauseNoticed is how long the balancer must have done nothing to have been
+	// paused. It looks for lost agents each tenth of a second.
+	pauseNoticed = 500 * time.Millisecond
 	// restartTime is how long an agent that announced its restart may be away.
 	restartTime = 5 * time.Second
 	// unsettledTime is how long a balancer that could not read the registrations
@@ -96,16 +99,18 @@
 }
 
 // lost reports whether an agent is gone, or has been silent for so long that it
-// is taken as lost with its target.
-func (a *Agent) lost(now model.Instant) bool {
+// is taken as lost with its target. Silence counts from when the balancer itself
+// resumed after a pause.
+func (a *Agent) lost(now, resumed model.Instant) bool {
 	limit := max(lostReports*a.Interval, minLost)
+	quiet := now.Sub(max(a.Heard, resumed))
 	switch a.State {
 	case AgentGone:
 		return true
 	case AgentRestarting:
-		return now.Sub(a.Heard) > restartTime
+		return quiet > restartTime
 	default:
-		return now.Sub(a.Heard) > limit
+		return quiet > limit
 	}
 }
 
--- a/internal/packetnode/store.go
+++ b/internal/packetnode/store.go
@@ -20,13 +20,20 @@
 const (
 	// prefixNodes is where nodes register themselves.
 	prefixNodes = "balsamlink/nodes/"
-	// leaseTime is how long a registration outlives its node.
-	leaseTime = 8 * time.Second
+	// leaseTime is how long a registration outlives its node, or leaseRenewals
+	// times the time between two renewals where that is more.
+	leaseTime     = 8 * time.Second
+	leaseRenewals = 4
 	// renewInterval is the time between two renewals. A registration that lapsed
 	// while the store was away must be back within 2 s of its return.
 	renewInterval = 1500 * time.Millisecond
-	// lookupInterval is the time between two looks at who is registered.
+	// lookupInterval is the time between two looks at who is registered. It grows
+	// with the number of nodes, as renewInterval does, so that the store's calls do
+	// not: lookupSpacing keeps all nodes together at 50 looks a second, and
+	// renewSpacing at 500 renewals.
 	lookupInterval = 5 * time.Second
+	lookupSpacing  = 20 * time.Millisecond
+	renewSpacing   = 2 * time.Millisecond
 	// retryInterval is the time after a failed store call, and maxRetryInterval
 	// what it grows to. Calls are paid for also while the store is away.
 	retryInterval    = 250 * time.Millisecond
@@ -267,9 +274,9 @@
 		return
 	}
 	r.busy = true
-	lease := r.lease
+	lease, ttl := r.lease, max(leaseTime, leaseRenewals*n.renewPause())
 	go func() {
-		held, err := n.register(lease)
+		held, err := n.register(lease, ttl)
 		n.finish(func(now model.Instant) { r.done(n, now, held, err) })
 	}()
 }
@@ -291,12 +298,17 @@
 		n.lookup.exact = true
 	}
 	r.lease = lease
-	r.pause.succeeded(now.Add(renewInterval))
+	r.pause.succeeded(now.Add(n.renewPause()))
+}
+
+// renewPause returns the time between two renewals of the lease.
+func (n *Node) renewPause() time.Duration {
+	return max(renewInterval, time.Duration(len(n.roster.nodes))*renewSpacing)
 }
 
 // register renews the lease, or makes a new one with the node's key under it. The
 // key is a new one for each incarnation and lease, so that it never exists.
-func (n *Node) register(lease platform.LeaseID) (platform.LeaseID, error) {
+func (n *Node) register(lease platform.LeaseID, ttl time.Duration) (platform.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	store := n.config.Underlay.Store()
@@ -306,7 +318,7 @@
 			return lease, err
 		}
 	}
-	lease, err := store.Grant(ctx, leaseTime)
+	lease, err := store.Grant(ctx, ttl)
 	if err != nil {
 		return 0, err
 	}
@@ -377,7 +389,7 @@
 	}
 	l.listed = l.listed || exact
 	l.exact = false
-	l.pause.succeeded(now.Add(lookupInterval))
+	l.pause.succeeded(now.Add(max(lookupInterval, time.Duration(len(n.roster.nodes))*lookupSpacing)))
 	found := false
 	for _, entry := range change.Entries {
 		var peer Peer
