--- a/internal/door/waiting.go
+++ b/internal/door/waiting.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/balsamlink/balsamlink/internal/flow"
 	"github.com/balsamlink/balsamlink/internal/model"
 	"github.com/balsamlink/balsamlink/internal/routing"
 )
@@ -173,6 +172,3 @@
 		Slots: d.slots(), Busy: d.busy, Fresh: d.fresh, Waiting: len(d.waiting), Opened: len(d.opened), Cold: d.Cold(now),
 	}
 }
-
-// Withdraw forgets a flow that waits no longer.
-func (d *Door) Withdraw(key flow.Key) { delete(d.waiting, key) }
--- a/internal/packetagent/agent.go
+++ b/internal/packetagent/agent.go
@@ -38,8 +38,8 @@
 	settleTime = 250 * time.Millisecond
 	// expireInterval is the time between two looks for flows that have ended.
 	expireInterval = time.Second
-	// refusalLogRate and the others are budgets of log lines a second, each kind of
-	// line with its own.
+	// logRate is the budget of log lines a second, and logBurst that of lines at
+	// once; each kind of line has its own.
 	logRate  = 20
 	logBurst = 100
 )
--- a/internal/packetlb/balancer.go
+++ b/internal/packetlb/balancer.go
@@ -46,8 +46,10 @@
 	drainPoll = 50 * time.Millisecond
 	// socketBuffer is the size of each buffer of the socket, in bytes.
 	socketBuffer = 2 << 20
-	logRate      = 30
-	logBurst     = 150
+	// logRate is the budget of log lines a second, and logBurst that of lines at
+	// once; each action has its own.
+	logRate  = 30
+	logBurst = 150
 )
 
 // Run runs a balancer until it is told to end.
--- a/internal/packetnode/node.go
+++ b/internal/packetnode/node.go
@@ -87,6 +87,8 @@
 
 	inbox chan message
 	calls chan func(now model.Instant)
+	// ended is closed when the control goroutine has ended.
+	ended chan struct{}
 	// state is shared with other goroutines.
 	state   atomic.Uint32
 	wanted  atomic.Uint64
@@ -99,13 +101,14 @@
 	roster    *Roster
 	knowledge *Knowledge
 	sequence  uint64
-	pause     time.Duration
-	reported  []netip.Addr
-	joined    []netip.Addr
-	ticked    model.Instant
-	refresh   refresh
-	lease     registration
-	lookup    lookup
+	// pause is the time between two beats to one node.
+	pause    time.Duration
+	reported []netip.Addr
+	joined   []netip.Addr
+	ticked   model.Instant
+	refresh  refresh
+	lease    registration
+	lookup   lookup
 }
 
 // message is a control datagram on its way to the control goroutine.
@@ -159,6 +162,7 @@
 		metrics:     newNodeMetrics(config.Counters),
 		inbox:       make(chan message, eventBuffer),
 		calls:       make(chan func(model.Instant), eventBuffer),
+		ended:       make(chan struct{}),
 		roster:      NewRoster(self),
 		knowledge:   &Knowledge{},
 	}
@@ -311,6 +315,7 @@
 
 // control is the goroutine that owns the control state.
 func (n *Node) control(ctx context.Context) {
+	defer close(n.ended)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	n.tick(ctx, model.Now())
@@ -393,7 +398,7 @@
 	}
 	n.ticked = now
 	n.setBeatPause(now)
-	n.roster.Due(now, n.beatPause(), func(node *Other, hello bool) { n.beat(now, node.Peer.VM, hello) })
+	n.roster.Due(now, n.pause, func(node *Other, hello bool) { n.beat(now, node.Peer.VM, hello) })
 	for _, node := range n.roster.Forget(now) {
 		n.log.WithFields(logrus.Fields{"peer": node.Peer.VM, "state": node.State}).Info("node_forgotten")
 	}
@@ -414,11 +419,6 @@
 	n.reported, n.joined = n.reported[:0], n.joined[:0]
 }
 
-// beatPause returns the time between two beats to one node.
-func (n *Node) beatPause() time.Duration {
-	return n.pause
-}
-
 // setBeatPause spaces the beats by how many nodes get them.
 func (n *Node) setBeatPause(now model.Instant) {
 	least := beatInterval
@@ -451,7 +451,7 @@
 	n.sequence++
 	beat := Beat{
 		Peer: n.self, Incarnation: n.incarnation, Sequence: n.sequence, State: State(n.state.Load()),
-		IntervalMillis: uint32((n.beatPause() + tickInterval).Milliseconds()), Hello: hello, Proof: n.knowledge.Proof(now),
+		IntervalMillis: uint32((n.pause + tickInterval).Milliseconds()), Hello: hello, Proof: n.knowledge.Proof(now),
 	}
 	if n.config.Load != nil && beat.State <= StateOpen {
 		beat.State, beat.Load = n.config.Load(now)
--- a/internal/packetnode/store.go
+++ b/internal/packetnode/store.go
@@ -103,7 +103,10 @@
 // finish hands a result to the control goroutine, or drops it when that has
 // ended.
 func (n *Node) finish(call func(now model.Instant)) {
-	n.calls <- call
+	select {
+	case n.calls <- call:
+	case <-n.ended:
+	}
 }
 
 // fetched is the result of asking for the operators' state.
