--- a/internal/failure/packets_test.go
+++ b/internal/failure/packets_test.go
@@ -115,6 +115,50 @@
 	requireUnharmed(t, s)
 }
 
+// The fabric probes each half second. A balancer that starts beside living nodes
+// is ready before the probe after its first one, so that a restart costs one
+// probe.
+func TestPacketBalancerServesSoonAfterItsStart(t *testing.T) {
+	const probeInterval = 500 * time.Millisecond
+	s := startSite(t, nil)
+	flows := openFlows(t, s, 10)
+	node := s.Nodes("")[0]
+	before, err := os.ReadFile(node.LogPath())
+	require.NoError(t, err)
+	require.Error(t, s.End(node, syscall.SIGKILL))
+	begun := time.Now()
+	require.NoError(t, s.StartNode(node))
+	serveAll(t, flows)
+	after := func(event string) time.Duration {
+		lines, err := os.ReadFile(node.LogPath())
+		require.NoError(t, err)
+		return loggedAt(t, lines[len(before):], event).Sub(begun)
+	}
+	require.Eventually(t, func() bool {
+		lines, err := os.ReadFile(node.LogPath())
+		return err == nil && bytes.Contains(lines[len(before):], []byte("event=first_packet_forwarded"))
+	}, apiece, 20*time.Millisecond)
+	t.Logf("ready after %s, first packet after %s", after("balancer_ready"), after("first_packet_forwarded"))
+	require.Less(t, after("balancer_ready"), probeInterval)
+}
+
+// loggedAt returns the time of the first line of an event.
+func loggedAt(t *testing.T, lines []byte, event string) time.Time {
+	t.Helper()
+	for line := range bytes.Lines(lines) {
+		if !bytes.Contains(line, []byte("event="+event)) {
+			continue
+		}
+		_, rest, _ := bytes.Cut(line, []byte(`time="`))
+		stamp, _, _ := bytes.Cut(rest, []byte(`"`))
+		at, err := time.Parse(time.RFC3339Nano, string(stamp))
+		require.NoError(t, err)
+		return at
+	}
+	require.Fail(t, "no line", event)
+	return time.Time{}
+}
+
 func TestPacketFlowsOutliveTheAgentsOfLivingTargets(t *testing.T) {
 	s := startSite(t, nil)
 	flows := openFlows(t, s, 20)
--- a/internal/packetlb/balancer.go
+++ b/internal/packetlb/balancer.go
@@ -66,7 +66,7 @@
 	if base.Settings.Target != nil {
 		return nil, Error.New("target: present; allowed: none, since a balancer has no target")
 	}
-	return &balancer{base: base, settings: base.Settings, log: base.Log}, nil
+	return &balancer{base: base, settings: base.Settings, log: base.Log, created: model.Now()}, nil
 }
 
 // balancer is the balancer's own part of the process.
@@ -82,11 +82,16 @@
 	metrics  *metrics
 	running  sync.WaitGroup
 
+	// created is when the process had read its settings.
+	created model.Instant
+
 	ready atomic.Bool
 	// leaving tells that the process has been told to end.
 	leaving atomic.Bool
 	// packets counts the packets from the fabric.
 	packets atomic.Uint64
+	// forwarded tells that a packet has been sent to an agent since the start.
+	forwarded atomic.Bool
 	view    atomic.Pointer[published]
 
 	// informed is when the operators' state became known, and expired when flows
@@ -292,7 +297,9 @@
 	}
 	b.ready.Store(true)
 	b.node.SetState(packetnode.StateOpen)
-	b.log.WithFields(logrus.Fields{"waited_ms": now.Sub(b.informed).Milliseconds(), "agents_missing": waiting}).Info("balancer_ready")
+	b.log.WithFields(logrus.Fields{
+		"waited_ms": now.Sub(b.informed).Milliseconds(), "since_start_ms": now.Sub(b.created).Milliseconds(), "agents_missing": waiting,
+	}).Info("balancer_ready")
 }
 
 func (b *balancer) expire(now model.Instant) {
--- /dev/null
+++ b/internal/packetlb/bench_test.go
@@ -0,0 +1,167 @@
+package packetlb
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/balsamlink/balsamlink/internal/flow"
+	"github.com/balsamlink/balsamlink/internal/flowsteer"
+	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/observe"
+	"github.com/balsamlink/balsamlink/internal/packetnode"
+	"github.com/balsamlink/balsamlink/internal/platform"
+	"github.com/balsamlink/balsamlink/internal/routing"
+	"github.com/balsamlink/balsamlink/internal/underlay"
+	adapter "github.com/balsamlink/balsamlink/platform"
+	"github.com/balsamlink/balsamlink/platform/wire"
+)
+
+// deadPlatform is an underlay whose store never answers.
+type deadPlatform struct{ underlay.Underlay }
+
+func (deadPlatform) Codec() flow.Codec                         { return adapter.Header{} }
+func (deadPlatform) Store() platform.Prover                    { return deadStore{} }
+func (deadPlatform) Operators([]model.Zone) underlay.Operators { return deadOperators{} }
+
+type deadStore struct{ platform.Prover }
+
+func (deadStore) Snapshot(context.Context, string, bool) (platform.Change, error) {
+	return platform.Change{}, platform.ErrUnavailable
+}
+
+func (deadStore) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+	return 0, platform.ErrUnavailable
+}
+
+type deadOperators struct{ underlay.Operators }
+
+func (deadOperators) Read(context.Context) (routing.Document, error) {
+	return routing.Document{}, platform.ErrUnavailable
+}
+
+// packetPath is a balancer with its real sockets, a client's socket, and one in
+// place of an agent.
+type packetPath struct {
+	balancer *balancer
+	client   *net.UDPConn
+	agent    *net.UDPConn
+	arrived  atomic.Int64
+}
+
+var (
+	balancerVM = netip.MustParseAddr("127.83.0.1")
+	agentVM    = netip.MustParseAddr("127.83.0.2")
+	service    = flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
+)
+
+func newPacketPath(tb testing.TB) *packetPath {
+	listen := func(address string) *net.UDPConn {
+		socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(address)))
+		require.NoError(tb, err)
+		require.NoError(tb, socket.SetReadBuffer(socketBuffer))
+		tb.Cleanup(func() { socket.Close() })
+		return socket
+	}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	log := logrus.NewEntry(logger)
+	settings := packetnode.Settings{VM: balancerVM, Zone: "a", Zones: []model.Zone{"a"}, Ports: []uint16{19401, 19402}}
+	counters := observe.NewCounters()
+	b := &balancer{settings: settings, log: log, codec: adapter.Header{}, clients: listen("127.83.0.1:0")}
+	b.table = flowsteer.NewTable(flowsteer.Limits{Flows: 1 << 20, Lifetime: time.Minute}, model.Now())
+	b.metrics = newMetrics(counters, log, b.flows)
+	view := &flowsteer.View{Zone: "a", Agents: map[netip.Addr]*flowsteer.Agent{
+		agentVM: {VM: agentVM, State: flowsteer.AgentOpen, Heard: model.Now(), Interval: time.Hour},
+	}}
+	b.table.SetView(view, nil)
+	b.view.Store(&published{view: view})
+	b.node = packetnode.New(packetnode.Config{
+		Settings: settings, Role: model.RoleBalancer, Underlay: deadPlatform{}, Counters: counters, Log: log,
+		Changed: func(model.Instant, packetnode.Update) {},
+	})
+	require.NoError(tb, b.node.Start(tb.Context()))
+	tb.Cleanup(func() { require.NoError(tb, b.node.Stop()) })
+	path := &packetPath{balancer: b, client: listen("127.83.0.3:0"), agent: listen("127.83.0.2:19401")}
+	go path.count()
+	return path
+}
+
+// count takes what reaches the agent.
+func (p *packetPath) count() {
+	buffer := make([]byte, packetnode.MaxDatagram)
+	for {
+		if _, _, err := p.agent.ReadFromUDPAddrPort(buffer); errors.Is(err, net.ErrClosed) {
+			return
+		}
+		p.arrived.Add(1)
+	}
+}
+
+// packetOf returns a client's packet with 100 bytes of data, and its flow.
+func packetOf(port uint16) ([]byte, flow.Key) {
+	const length = 100
+	key := flow.Key{Client: flow.Endpoint{IP: [4]byte{127, 83, 0, 3}, Port: port}, Service: service}
+	packet := make([]byte, wire.HeaderSize+length)
+	packet[wire.OffsetLength+1] = length
+	packet[wire.OffsetFlags] = wire.FlagAck
+	wire.PutEnds(packet, key.Client.IP, key.Client.Port, key.Service.IP, key.Service.Port)
+	return packet, key
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkPacket takes packets from the fabric's socket to the agent's VM, with
+// a number of them under way at once. The processor time includes the sender and
+// the receiver, whose own share "direct" measures.
+func BenchmarkPacket(b *testing.B) {
+	for _, way := range []string{"direct", "balancer"} {
+		for _, window := range []int{1, 8, 64} {
+			b.Run(way+"/"+strconv.Itoa(window)+"underway", func(b *testing.B) { benchmarkPacket(b, way, window) })
+		}
+	}
+}
+
+func benchmarkPacket(b *testing.B, way string, window int) {
+	path := newPacketPath(b)
+	lb := path.balancer
+	packet, key := packetOf(4000)
+	lb.table.Claimed(model.Now(), key, agentVM)
+	to := lb.clients.LocalAddr().(*net.UDPAddr).AddrPort()
+	switch way {
+	case "direct":
+		to = path.agent.LocalAddr().(*net.UDPAddr).AddrPort()
+	case "balancer":
+		go lb.readClients()
+	}
+	b.ReportAllocs()
+	used := processorTime()
+	sent := int64(0)
+	for b.Loop() {
+		for sent-path.arrived.Load() >= int64(window) {
+			syscall.Syscall(syscall.SYS_SCHED_YIELD, 0, 0, 0)
+		}
+		if _, err := path.client.WriteToUDPAddrPort(packet, to); err != nil {
+			b.Fatal(err)
+		}
+		sent++
+	}
+	b.ReportMetric(float64((processorTime()-used).Nanoseconds())/float64(sent), "cpu-ns/op")
+}
--- a/internal/packetlb/traffic.go
+++ b/internal/packetlb/traffic.go
@@ -134,6 +134,9 @@
 		Search: search, Known: s.view.Load().known, Packet: packet,
 	})
 	s.node.Send(vm, s.buffer)
+	if !s.forwarded.Load() && s.forwarded.CompareAndSwap(false, true) {
+		s.log.WithField("since_start_ms", model.Now().Sub(s.created).Milliseconds()).Info("first_packet_forwarded")
+	}
 }
 
 func (b *balancer) reset(key flow.Key, sequence uint32) {
