--- a/internal/packetlb/balancer.go
+++ b/internal/packetlb/balancer.go
@@ -92,7 +92,7 @@
 	packets atomic.Uint64
 	// forwarded tells that a packet has been sent to an agent since the start.
 	forwarded atomic.Bool
-	view    atomic.Pointer[published]
+	view      atomic.Pointer[published]
 
 	// informed is when the operators' state became known, and expired when flows
 	// were last looked through. Both belong to the control goroutine.
