Ask agents about lost flows by key, many in a datagram

The second cause: an agent that starts with its target did not know that, and had every searched packet handed to the target for 12 s. Ruled out: the budget of copies (43 packets refused in 20 s), agents that do not listen, a search that ends too early. Change: the second stage of a search asks by key; a returned copy is denied by key; an agent denies from its table when the first heartbeat it hears is the incarnation's first, or so young that none before was taken.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -42,6 +42,8 @@
 	Draining bool
 	// WarmUpLeft is how much longer the target is cold.
 	WarmUpLeft time.Duration
+	// Age is the time since Born, by the VM's clock.
+	Age time.Duration
 }
 
 // Departure is the last word of a target before it ends.
@@ -110,6 +112,9 @@
 	// freshTime is how long a new flow's first request is waited for. A client
 	// opens a flow when it has one.
 	freshTime = 300 * time.Millisecond
+	// firstAttempts is how many announcements a target makes at most while it is not
+	// heard, in half a heartbeat's time. It guards against a clock that was set back.
+	firstAttempts = 10
 	// missedHeartbeats is how many heartbeats a target may miss before it gets no
 	// new flows. The users take a target as gone two seconds after it is due.
 	missedHeartbeats = 3
@@ -196,6 +201,7 @@
 	}
 	if d.target.Born == 0 {
 		d.adoptFlows(a.Born)
+		d.complete = d.complete || d.isFirst(a)
 	}
 	d.heard = now
 	d.target = Target{
@@ -205,6 +211,14 @@
 	return restarted, nil
 }
 
+// isFirst reports whether no agent before this one can have taken an announcement
+// of the target's incarnation, and so let a flow in: the announcement is the
+// first one, or comes so soon after the target's start that those before it
+// failed. A target that was heard waits for a heartbeat's time.
+func (d *Door) isFirst(a Announcement) bool {
+	return a.Sequence == 1 || (a.Sequence <= firstAttempts && a.Age >= 0 && a.Age < d.config.Heartbeat/2)
+}
+
 // adoptFlows takes the flows that were seen before the first heartbeat as those
 // of the incarnation that sent it.
 func (d *Door) adoptFlows(born int64) {
--- a/internal/door/flows.go
+++ b/internal/door/flows.go
@@ -16,6 +16,9 @@
 	born int64
 	// open tells that the target has sent packets of the flow beyond its consent.
 	open bool
+	// acked tells that the client has acknowledged the target's consent. Until then
+	// the flow may have opened elsewhere, by another copy of its opening packet.
+	acked bool
 	// clientAck is the client's last acknowledgement number.
 	clientAck uint32
 	lastIn    model.Instant
@@ -67,7 +70,7 @@
 		return Dead
 	}
 	known.balancer, known.lastIn = balancer, now
-	known.clientAck = p.Acknowledged
+	known.acked, known.clientAck = true, p.Acknowledged
 	if p.Flags.Has(flow.End) {
 		known.endedByClient = true
 	}
@@ -81,6 +84,42 @@
 	return Deliver
 }
 
+// Holding tells whether the target holds a flow, as far as the agent knows.
+type Holding uint8
+
+// The holdings.
+const (
+	// Unsure tells that only the target can tell.
+	Unsure Holding = iota
+	// Held tells that the target holds the flow.
+	Held
+	// Absent tells that the target does not hold the flow.
+	Absent
+	holdingCount
+)
+
+// HoldingCount is the number of holdings.
+const HoldingCount = int(holdingCount)
+
+// Holds tells whether the target holds a flow.
+func (d *Door) Holds(key flow.Key) Holding {
+	known := d.flows[key]
+	switch {
+	case d.target.Gone:
+		return Absent
+	case known == nil && d.complete:
+		return Absent
+	case known == nil:
+		return Unsure
+	case known.born != 0 && known.born != d.target.Born:
+		return Absent
+	case known.open:
+		return Held
+	default:
+		return Unsure
+	}
+}
+
 // request notes a client's data, unless it was sent before.
 func (d *Door) request(now model.Instant, known *entry, p flow.Packet) {
 	next := p.Sequence + uint32(p.Length)
@@ -167,7 +206,7 @@
 }
 
 // Losses removes the flows whose incarnation of the target has ended, and returns
-// those that the target had not closed itself. Flows that had a packet within the
+// those that were open and that the target had not closed itself. Flows that had a packet within the
 // settling time are left for later: a last answer may still be on its way.
 func (d *Door) Losses(now model.Instant, settling time.Duration) []Loss {
 	var losses []Loss
@@ -176,7 +215,7 @@
 			continue
 		}
 		if d.target.Gone || (known.born != 0 && known.born != d.target.Born) {
-			if !known.endedByTarget {
+			if !known.endedByTarget && (known.acked || known.open) {
 				losses = append(losses, Loss{Key: key, Sequence: known.clientAck})
 			}
 			d.remove(key, known)
--- a/internal/flowsteer/explain.go
+++ b/internal/flowsteer/explain.go
@@ -16,7 +16,8 @@
 		say("known: agent %s, open %t, last packet %d ms ago, agent lost %t",
 			known.agent, known.opened, now.Sub(known.seen).Milliseconds(), t.agentLost(now, known.agent))
 	} else if known != nil && known.search != nil {
-		say("searching: %d copies sent, denied by %d of %d agents", known.search.copies, len(known.search.denied), len(t.view.Agents))
+		say("searching: all agents asked %t, denied by %d of %d agents, only the targets of %d can tell",
+			known.search.all, len(known.search.denied), len(t.view.Agents), len(known.search.unsure))
 	} else {
 		say("unknown: a packet of an open flow would be searched for at %d agents", len(t.view.Agents))
 	}
--- a/internal/flowsteer/search.go
+++ b/internal/flowsteer/search.go
@@ -1,6 +1,7 @@
 package flowsteer
 
 import (
+	"bytes"
 	"net/netip"
 	"time"
 
@@ -8,67 +9,96 @@
 	"github.com/balsamlink/balsamlink/internal/model"
 )
 
+// A search for the agent of a flow has two stages. First the packet is copied to
+// the agents at which the flow most likely is, so that most flows are found
+// without a delay. If none of them holds it, all agents are asked with the
+// flow's key alone, many flows in one datagram: copies of packets to all agents
+// would fill the link of a small VM. An agent that can't tell from its table is
+// sent the packet, since its target can.
+
 const (
-	// maxCopies is how many packets of a flow are sent to the agents of one round
-	// of a search.
+	// maxCopies is how many packets of a flow are copied in one round, and how
+	// often an agent that can't tell is sent one.
 	maxCopies = 3
-	// roundTime is how long the answers to one round may take. It is the client's
+	// roundTime is how long the answers to copies may take. It is the client's
 	// first retransmission timeout.
 	roundTime = 200 * time.Millisecond
 	// searchTime is how long the answers count. A target does not come to hold an
 	// open flow later on.
 	searchTime = 3 * time.Second
-	// copyRate and copyBurst bound the copies that go to all agents, in copies a
-	// second and at once. A copy costs about 5 us: the rate is a third of the
-	// processor of the smallest entry VM, 0.06 cores.
+	// copyRate and copyBurst bound the copies that go to agents that can't tell, in
+	// copies a second and at once. A copy costs about 5 us: the rate is a third of
+	// the processor of the smallest entry VM, 0.06 cores.
 	copyRate  = 4000
 	copyBurst = 4000
+	// askInterval is the shortest time between two rounds of questions, and
+	// askSpacing that for each agent: a thousand questions a second.
+	askInterval = 10 * time.Millisecond
+	askSpacing  = time.Millisecond
+	// askAgain is when an agent that has not answered is asked again. It exceeds
+	// the round trip between zones, and the pause of a process whose share of the
+	// processor is used up for a while.
+	askAgain = 100 * time.Millisecond
+	// maxHeld bounds the packets that wait for the end of a search. Clients repeat
+	// those that are not held.
+	maxHeld = 256
 )
 
-// search is the state of a search for a flow's agent. The first round asks the
-// agents at which the flow most likely is, further ones all that have not denied
-// it.
+// search is the state of a search for a flow's agent.
 type search struct {
 	since model.Instant
-	round model.Instant
-	// wide tells that the present round asks all agents.
-	wide   bool
+	// round is when the present round of copies began, and copies their number.
+	round  model.Instant
 	copies int
-	asked  []netip.Addr
-	// denied are the agents that do not hold the flow.
+	// likely are the agents that copies go to in the first stage.
+	likely []netip.Addr
+	// all tells that the second stage has begun; asked is when the agents were
+	// last asked.
+	all   bool
+	asked model.Instant
+	// denied are the agents that do not hold the flow, and unsure those that can't
+	// tell, with the number of packets that they were sent.
 	denied map[netip.Addr]bool
+	unsure map[netip.Addr]int
+	// held is the client's last packet.
+	held []byte
 }
 
 // find searches for the agent of a flow with a packet at hand. An agent that has
 // just denied the flow is named.
 func (t *Table) find(now model.Instant, key flow.Key, known *record, denying netip.Addr) Verdict {
-	s := known.search
-	if s == nil || now.Sub(s.since) >= searchTime {
-		s = &search{since: now, round: now, asked: t.likely(key), denied: map[netip.Addr]bool{}}
-		known.search = s
+	if known.search != nil && now.Sub(known.search.since) >= searchTime {
+		t.endSearch(key, known)
+	}
+	if known.search == nil {
+		known.search = &search{since: now, round: now, likely: t.likely(key), denied: map[netip.Addr]bool{}, unsure: map[netip.Addr]int{}}
 	}
+	s := known.search
 	if denying.IsValid() {
 		s.denied[denying] = true
 	}
 	if t.notFound(now, s) {
 		return t.giveUp(key, known, ReasonNotFound)
 	}
-	if now.Sub(s.round) >= roundTime || (!s.wide && s.exhausted()) {
-		s.widen(now, t.view)
+	if !s.all && (s.exhausted() || now.Sub(s.round) >= roundTime) {
+		return t.askAll(key, known)
+	}
+	if now.Sub(s.round) >= roundTime {
+		s.round, s.copies = now, 0
 	}
-	if s.copies >= maxCopies || len(s.asked) == 0 {
+	if s.copies >= maxCopies {
 		return Verdict{Reason: ReasonSearching}
 	}
-	if s.wide && !t.spend(now, len(s.asked)) {
-		return Verdict{Reason: ReasonSearchBudget}
+	if s.all {
+		return t.copyToUnsure(now, s)
 	}
 	s.copies++
-	return Verdict{Action: ActionSearch, Reason: ReasonUnknownFlow, Agents: s.asked}
+	return Verdict{Action: ActionSearch, Reason: ReasonUnknownFlow, Agents: s.likely}
 }
 
-// exhausted reports whether all agents of the round have denied the flow.
+// exhausted reports whether all likely agents have denied the flow.
 func (s *search) exhausted() bool {
-	for _, vm := range s.asked {
+	for _, vm := range s.likely {
 		if !s.denied[vm] {
 			return false
 		}
@@ -76,14 +106,29 @@
 	return true
 }
 
-// widen begins a round that asks all agents that have not denied the flow.
-func (s *search) widen(now model.Instant, view *View) {
-	s.wide, s.round, s.copies, s.asked = true, now, 0, nil
-	for vm, agent := range view.Agents {
-		if agent.State != AgentGone && !s.denied[vm] {
-			s.asked = append(s.asked, vm)
+// askAll begins the second stage.
+func (t *Table) askAll(key flow.Key, known *record) Verdict {
+	known.search.all, known.search.copies = true, 0
+	t.asking[key] = known
+	return Verdict{Action: ActionAsk, Reason: ReasonUnknownFlow}
+}
+
+// copyToUnsure sends a client's next packet to the agents that can't tell.
+func (t *Table) copyToUnsure(now model.Instant, s *search) Verdict {
+	var agents []netip.Addr
+	for vm := range s.unsure {
+		if !s.denied[vm] {
+			agents = append(agents, vm)
 		}
 	}
+	if len(agents) == 0 {
+		return Verdict{Reason: ReasonSearching}
+	}
+	if !t.spend(now, len(agents)) {
+		return Verdict{Reason: ReasonSearchBudget}
+	}
+	s.copies++
+	return Verdict{Action: ActionSearch, Reason: ReasonUnknownFlow, Agents: agents}
 }
 
 // spend takes copies from the budget, unless it is used up.
@@ -97,33 +142,124 @@
 	return true
 }
 
-// Denied takes an agent's word that it does not hold a flow. The packet is one
-// that the agent was sent because the table named it, or a copy of a search.
-func (t *Table) Denied(now model.Instant, p flow.Packet, agent netip.Addr) Verdict {
-	t.wake(now)
-	key := p.FromClient()
+// Hold keeps a copy of the client's last packet of a flow that is searched for,
+// unless too many are kept.
+func (t *Table) Hold(key flow.Key, packet []byte) {
 	known := t.records[key]
-	if known == nil || !known.heard {
-		return Verdict{Reason: ReasonEnded}
+	if known == nil || known.search == nil || (known.search.held == nil && t.held >= maxHeld) {
+		return
 	}
-	if known.agent == agent {
-		known.agent = netip.Addr{}
-		return t.find(now, key, known, agent)
+	if known.search.held == nil {
+		t.held++
+	}
+	known.search.held = bytes.Clone(packet)
+}
+
+// endSearch forgets a flow's search and returns the packet that was held.
+func (t *Table) endSearch(key flow.Key, known *record) []byte {
+	if known.search == nil {
+		return nil
+	}
+	held := known.search.held
+	if held != nil {
+		t.held--
+	}
+	known.search = nil
+	delete(t.asking, key)
+	return held
+}
+
+// Question asks an agent which of some flows its target holds.
+type Question struct {
+	Agent netip.Addr
+	Keys  []flow.Key
+}
+
+// Questions returns what the agents are to be asked now, and when to call again;
+// 0 tells that no search is on.
+func (t *Table) Questions(now model.Instant) ([]Question, time.Duration) {
+	keys := map[netip.Addr][]flow.Key{}
+	for key, known := range t.asking {
+		s := known.search
+		if now.Sub(s.since) >= searchTime {
+			t.endSearch(key, known)
+			continue
+		}
+		if s.asked != 0 && now.Sub(s.asked) < askAgain {
+			continue
+		}
+		s.asked = now
+		for vm, agent := range t.view.Agents {
+			if agent.State != AgentGone && !s.denied[vm] && s.unsure[vm] < maxCopies {
+				keys[vm] = append(keys[vm], key)
+			}
+		}
+	}
+	if len(t.asking) == 0 {
+		return nil, 0
 	}
-	if known.agent.IsValid() || known.search == nil {
-		return Verdict{Reason: ReasonKnown}
+	questions := make([]Question, 0, len(keys))
+	for vm, list := range keys {
+		questions = append(questions, Question{Agent: vm, Keys: list})
+	}
+	return questions, max(askInterval, time.Duration(len(t.view.Agents))*askSpacing)
+}
+
+// Denied takes an agent's word that it does not hold a flow that is searched for.
+func (t *Table) Denied(now model.Instant, key flow.Key, agent netip.Addr) Verdict {
+	t.wake(now)
+	known := t.records[key]
+	if known == nil || known.search == nil {
+		return Verdict{Reason: ReasonEnded}
 	}
 	s := known.search
 	s.denied[agent] = true
 	if t.notFound(now, s) {
 		return t.giveUp(key, known, ReasonNotFound)
 	}
-	if !s.wide && s.exhausted() {
-		return t.find(now, key, known, agent)
+	if !s.all && s.exhausted() {
+		return t.askAll(key, known)
 	}
 	return Verdict{Reason: ReasonSearching}
 }
 
+// Unsure takes an agent's word that only its target can tell whether it holds a
+// flow. The packet that is held goes there.
+func (t *Table) Unsure(now model.Instant, key flow.Key, agent netip.Addr) Verdict {
+	t.wake(now)
+	known := t.records[key]
+	if known == nil || known.search == nil {
+		return Verdict{Reason: ReasonEnded}
+	}
+	s := known.search
+	sent := s.unsure[agent]
+	s.unsure[agent] = sent
+	if s.held == nil || sent >= maxCopies {
+		return Verdict{Reason: ReasonSearching}
+	}
+	if !t.spend(now, 1) {
+		return Verdict{Reason: ReasonSearchBudget}
+	}
+	s.unsure[agent]++
+	return Verdict{Action: ActionSearch, Reason: ReasonUnknownFlow, Agents: []netip.Addr{agent}, Packet: s.held}
+}
+
+// Returned decides on a packet of an open flow that the agent which the table
+// named returned: its target does not hold the flow.
+func (t *Table) Returned(now model.Instant, p flow.Packet, agent netip.Addr) Verdict {
+	t.wake(now)
+	key := p.FromClient()
+	known := t.records[key]
+	if known == nil || !known.heard {
+		return Verdict{Reason: ReasonEnded}
+	}
+	if known.agent == agent {
+		known.agent = netip.Addr{}
+		return t.find(now, key, known, agent)
+	}
+	return t.Denied(now, key, agent)
+}
+
 // notFound reports whether it is proven that no target holds a flow: every agent
 // has denied it or is lost, and the balancer knows all agents.
 func (t *Table) notFound(now model.Instant, s *search) bool {
--- a/internal/flowsteer/table.go
+++ b/internal/flowsteer/table.go
@@ -21,6 +21,8 @@
 	ActionForward
 	// ActionSearch sends a copy of the packet to each of the verdict's agents.
 	ActionSearch
+	// ActionAsk asks all agents about the packet's flow.
+	ActionAsk
 	// ActionReset tells the client that its flow is given up.
 	ActionReset
 	actionCount
@@ -64,6 +66,8 @@
 	ReasonTableFull
 	// ReasonEnded tells that the packet closes a flow that is not known.
 	ReasonEnded
+	// ReasonFound tells that the flow's agent has been found.
+	ReasonFound
 	reasonCount
 )
 
@@ -73,13 +77,13 @@
 	ReasonCount = int(reasonCount)
 )
 
-var actionNames = [...]string{"drop", "forward", "search", "reset"}
+var actionNames = [...]string{"drop", "forward", "search", "ask", "reset"}
 
 // String returns the name that logs and metrics use.
 func (a Action) String() string { return actionNames[a] }
 
 var reasonNames = [...]string{"placed", "known", "retried", "unknown_flow", "no_state", "no_route", "unproven_route",
-	"no_target", "refused", "no_room", "searching", "search_budget", "not_found", "agent_lost", "table_full", "ended"}
+	"no_target", "refused", "no_room", "searching", "search_budget", "not_found", "agent_lost", "table_full", "ended", "found"}
 
 // String returns the name that logs and metrics use.
 func (r Reason) String() string { return reasonNames[r] }
@@ -93,6 +97,8 @@
 	Agents []netip.Addr
 	// Sequence goes into a reset.
 	Sequence uint32
+	// Packet is the packet that was held, if the verdict is not on the one at hand.
+	Packet []byte
 }
 
 const (
@@ -136,7 +142,11 @@
 	records map[flow.Key]*record
 	// placed counts the new flows of each agent since its last report.
 	placed map[netip.Addr]int
-	// credit is the number of copies that may go to all agents, as of credited.
+	// asking are the flows that all agents are asked about, and held the number of
+	// packets that wait for the end of a search.
+	asking map[flow.Key]*record
+	held   int
+	// credit is the number of copies that may go to unsure agents, as of credited.
 	credit   float64
 	credited model.Instant
 }
@@ -157,6 +167,7 @@
 		view:    &View{},
 		records: map[flow.Key]*record{},
 		placed:  map[netip.Addr]int{},
+		asking:  map[flow.Key]*record{},
 		credit:  copyBurst, credited: now,
 	}
 }
@@ -219,6 +230,9 @@
 		}
 		known.tried = append(known.tried, known.agent)
 	}
+	if known != nil {
+		t.endSearch(key, known)
+	}
 	if t.view.State == nil || t.view.State.Config == nil {
 		return Verdict{Reason: ReasonNoState}
 	}
@@ -316,25 +330,23 @@
 	return Verdict{Action: ActionReset, Reason: ReasonRefused}
 }
 
-// Claimed takes an agent's word that it holds a flow.
-func (t *Table) Claimed(now model.Instant, key flow.Key, agent netip.Addr) {
+// Claimed takes an agent's word that it holds a flow, and decides on the packet
+// that was held meanwhile.
+func (t *Table) Claimed(now model.Instant, key flow.Key, agent netip.Addr) Verdict {
 	known := t.records[key]
 	if known == nil {
 		if len(t.records) >= t.limits.Flows {
-			return
+			return Verdict{Reason: ReasonTableFull}
 		}
 		known = &record{seen: now}
 		t.records[key] = known
 	}
-	known.agent, known.opened = agent, true
-	known.search, known.tried = nil, nil
-}
-
-// Closed takes an agent's word that a flow has ended.
-func (t *Table) Closed(key flow.Key, agent netip.Addr) {
-	if known := t.records[key]; known != nil && known.agent == agent {
-		delete(t.records, key)
+	held := t.endSearch(key, known)
+	known.agent, known.opened, known.tried = agent, true, nil
+	if held == nil {
+		return Verdict{Reason: ReasonKnown}
 	}
+	return Verdict{Action: ActionForward, Reason: ReasonFound, Agent: agent, Packet: held}
 }
 
 // agentLost reports whether a flow's agent is lost, so that its flows can be
@@ -348,10 +360,15 @@
 }
 
 func (t *Table) giveUp(key flow.Key, known *record, why Reason) Verdict {
-	delete(t.records, key)
+	t.remove(key, known)
 	return Verdict{Action: ActionReset, Reason: why, Sequence: known.clientAck}
 }
 
+func (t *Table) remove(key flow.Key, known *record) {
+	t.endSearch(key, known)
+	delete(t.records, key)
+}
+
 // Loss is a flow that is given up without a packet at hand.
 type Loss struct {
 	Key     flow.Key
@@ -359,7 +376,7 @@
 }
 
 // Expire removes flows that have rested for too long, and gives up those whose
-// agent is lost. It is called a few times a second.
+// agent is lost and those that are nowhere since an agent is lost. It is called a few times a second.
 func (t *Table) Expire(now model.Instant) []Loss {
 	t.wake(now)
 	idle := idleFallback
@@ -375,11 +392,16 @@
 		switch {
 		case known.heard && now.Sub(known.seen) > idle+roundTime,
 			now.Sub(known.seen) > max(idle, t.limits.Lifetime):
-			delete(t.records, key)
+			t.remove(key, known)
 		case lost[known.agent] && known.heard && known.opened:
 			losses = append(losses, Loss{Key: key, Verdict: t.giveUp(key, known, ReasonAgentLost)})
 		case lost[known.agent] && known.opened:
-			delete(t.records, key)
+			t.remove(key, known)
+		}
+	}
+	for key, known := range t.asking {
+		if t.notFound(now, known.search) {
+			losses = append(losses, Loss{Key: key, Verdict: t.giveUp(key, known, ReasonNotFound)})
 		}
 	}
 	return losses
--- a/internal/packetagent/agent.go
+++ b/internal/packetagent/agent.go
@@ -128,7 +128,10 @@
 	a.node = packetnode.New(packetnode.Config{
 		Settings: a.settings, Role: model.RoleAgent, Service: target.Service, Underlay: a.base.Underlay,
 		Counters: a.base.Counters, Log: a.log, Load: a.load, Changed: a.changed,
-		Handlers: map[packetnode.Kind]packetnode.Handler{packetnode.KindForward: a.takeForward},
+		Handlers: map[packetnode.Kind]packetnode.Handler{
+			packetnode.KindForward: a.takeForward,
+			packetnode.KindAsk:     a.takeAsk,
+		},
 	})
 	a.node.SetState(packetnode.StateClosed)
 	if err := a.node.Start(ctx); err != nil {
--- a/internal/packetagent/claims.go
+++ b/internal/packetagent/claims.go
@@ -104,10 +104,6 @@
 }
 
 func (a *agent) sendClaims(vm netip.Addr, keys []flow.Key) {
-	for len(keys) > 0 {
-		count := min(len(keys), packetnode.MaxKeys)
-		a.metrics.claimed.Add(int64(count))
-		a.node.Send(vm, packetnode.AppendKeys(nil, packetnode.KindClaims, keys[:count]))
-		keys = keys[count:]
-	}
+	a.metrics.claimed.Add(int64(len(keys)))
+	a.node.SendKeys(vm, packetnode.KindClaims, keys)
 }
--- a/internal/packetagent/metrics.go
+++ b/internal/packetagent/metrics.go
@@ -10,6 +10,7 @@
 // metrics counts what the agent does.
 type metrics struct {
 	delivered, sent, opened, probed, found, resets, claimed            *observe.Counter
+	denied, unsure                                                     *observe.Counter
 	malformed, foreign, untracked, sendFailed, readFailed              *observe.Counter
 	announcements, announcementsRefused, announcementsMalformed, looks *observe.Counter
 	refused                                                            [door.ReasonCount]*observe.Counter
@@ -27,6 +28,8 @@
 		opened:                 c.Counter("flows_opened", "Opening packets handed to the target."),
 		probed:                 c.Counter("flows_probed", "Packets handed to the target without knowing whether it holds their flow."),
 		found:                  c.Counter("flows_found", "Searched packets of flows that the target holds."),
+		denied:                 c.Counter("flows_denied", "Flows that balancers searched for and that the target does not hold."),
+		unsure:                 c.Counter("flows_unsure", "Flows that balancers searched for and of which only the target can tell."),
 		resets:                 c.Counter("flows_reset", "Flows given up since their target has ended."),
 		claimed:                c.Counter("flows_claimed", "Flows that balancers were told of."),
 		malformed:              c.Counter("packets_malformed", "Packets dropped: malformed."),
--- a/internal/packetagent/traffic.go
+++ b/internal/packetagent/traffic.go
@@ -23,6 +23,8 @@
 	tag      uint32
 	balancer netip.Addr
 	key      flow.Key
+	// search tells that the balancer does not know the flow's agent.
+	search bool
 }
 
 // pending remembers the last packets that were handed to the target, by the tag
@@ -34,9 +36,10 @@
 
 func newPending() pending { return pending{ring: make([]delivery, pendingSize)} }
 
-func (p *pending) add(balancer netip.Addr, key flow.Key) uint32 {
+func (p *pending) add(d delivery) uint32 {
 	p.next++
-	p.ring[p.next%pendingSize] = delivery{tag: p.next, balancer: balancer, key: key}
+	d.tag = p.next
+	p.ring[p.next%pendingSize] = d
 	return p.next
 }
 
@@ -89,7 +92,7 @@
 func (a *agent) admit(now model.Instant, view *view) {
 	for _, opening := range a.door.Admit(now, view.state) {
 		a.metrics.opened.Inc()
-		a.deliver(opening.Balancer, opening.Key, opening.Packet)
+		a.deliver(delivery{balancer: opening.Balancer, key: opening.Key}, opening.Packet)
 	}
 }
 
@@ -117,28 +120,67 @@
 	a.mu.Lock()
 	decision := a.door.Packet(model.Now(), p, from, forward.Search)
 	if decision == door.Deliver || decision == door.Probe {
-		a.deliver(from, key, forward.Packet)
+		a.deliver(delivery{balancer: from, key: key, search: forward.Search}, forward.Packet)
 	}
 	a.mu.Unlock()
 	switch decision {
 	case door.Deliver:
 		if forward.Search {
-			a.metrics.found.Inc()
-			a.metrics.searchLog.Info("flow_found", logrus.Fields{"flow": key, "balancer": from})
-			a.node.Send(from, packetnode.AppendKeys(nil, packetnode.KindClaims, []flow.Key{key}))
+			a.found(from, key)
 		}
 	case door.Probe:
 		a.metrics.probed.Inc()
 	case door.NotHere:
-		a.refuse(from, key, forward.Packet, door.ReasonUnknownFlow, a.view.Load())
+		a.deny(delivery{balancer: from, key: key, search: forward.Search}, forward.Packet)
 	case door.Dead:
 		a.giveUp("target_ended", 0)
 	}
 }
 
+// deny tells a balancer that the target does not hold a flow. The packet goes
+// back to a balancer that thought so.
+func (a *agent) deny(d delivery, packet []byte) {
+	if !d.search {
+		a.refuse(d.balancer, d.key, packet, door.ReasonUnknownFlow, a.view.Load())
+		return
+	}
+	a.metrics.denied.Inc()
+	a.node.SendKeys(d.balancer, packetnode.KindDenied, []flow.Key{d.key})
+}
+
+// takeAsk tells a balancer which of some flows the target holds.
+func (a *agent) takeAsk(from netip.Addr, datagram []byte) {
+	keys, err := packetnode.ParseKeys(datagram)
+	if err != nil {
+		a.metrics.malformed.Inc()
+		return
+	}
+	var answers [door.HoldingCount][]flow.Key
+	a.mu.Lock()
+	for _, key := range keys {
+		holding := a.door.Holds(key)
+		answers[holding] = append(answers[holding], key)
+	}
+	a.mu.Unlock()
+	for _, key := range answers[door.Held] {
+		a.found(from, key)
+	}
+	a.metrics.denied.Add(int64(len(answers[door.Absent])))
+	a.metrics.unsure.Add(int64(len(answers[door.Unsure])))
+	a.node.SendKeys(from, packetnode.KindDenied, answers[door.Absent])
+	a.node.SendKeys(from, packetnode.KindUnsure, answers[door.Unsure])
+}
+
+// found tells a balancer that the target holds a flow that it searches for.
+func (a *agent) found(from netip.Addr, key flow.Key) {
+	a.metrics.found.Inc()
+	a.metrics.searchLog.Info("flow_found", logrus.Fields{"flow": key, "balancer": from})
+	a.node.SendKeys(from, packetnode.KindClaims, []flow.Key{key})
+}
+
 // deliver hands a packet to the target. The caller holds the lock.
-func (a *agent) deliver(from netip.Addr, key flow.Key, packet []byte) {
-	a.codec.Prepare(packet, a.pending.add(from, key))
+func (a *agent) deliver(d delivery, packet []byte) {
+	a.codec.Prepare(packet, a.pending.add(d))
 	if _, err := a.outbound.WriteToUDPAddrPort(packet, a.settings.Target.Address); err != nil {
 		a.metrics.sendFailed.Inc()
 		return
@@ -196,10 +238,6 @@
 // takeReturned takes a packet that the target can't use.
 func (a *agent) takeReturned(p flow.Packet, packet []byte) {
 	key := p.FromClient()
-	reason := door.ReasonUnknownFlow
-	if p.Opening() {
-		reason = door.ReasonFull
-	}
 	a.mu.Lock()
 	delivered, known := a.pending.take(p.Tag, key)
 	if known {
@@ -210,5 +248,9 @@
 		a.metrics.untracked.Inc()
 		return
 	}
-	a.refuse(delivered.balancer, key, packet, reason, a.view.Load())
+	if p.Opening() {
+		a.refuse(delivered.balancer, key, packet, door.ReasonFull, a.view.Load())
+		return
+	}
+	a.deny(delivered, packet)
 }
--- a/internal/packetlb/balancer.go
+++ b/internal/packetlb/balancer.go
@@ -66,7 +66,10 @@
 	if base.Settings.Target != nil {
 		return nil, Error.New("target: present; allowed: none, since a balancer has no target")
 	}
-	return &balancer{base: base, settings: base.Settings, log: base.Log, created: model.Now()}, nil
+	return &balancer{
+		base: base, settings: base.Settings, log: base.Log, created: model.Now(),
+		searching: make(chan struct{}, 1), stopped: make(chan struct{}),
+	}, nil
 }
 
 // balancer is the balancer's own part of the process.
@@ -104,6 +107,10 @@
 	returns *sender
 	lost    *sender
 
+	// searching wakes askAgents, and stopped ends it.
+	searching chan struct{}
+	stopped   chan struct{}
+
 	mu    sync.Mutex
 	table *flowsteer.Table
 }
@@ -146,12 +153,15 @@
 		Handlers: map[packetnode.Kind]packetnode.Handler{
 			packetnode.KindReturn: b.takeReturn,
 			packetnode.KindClaims: b.takeClaims,
+			packetnode.KindDenied: b.takeDenied,
+			packetnode.KindUnsure: b.takeUnsure,
 		},
 	})
 	if err := b.node.Start(ctx); err != nil {
 		return err
 	}
 	b.running.Go(b.readClients)
+	b.running.Go(b.askAgents)
 	return b.servePages()
 }
 
@@ -207,6 +217,7 @@
 	if b.node != nil {
 		faults.Add(b.node.Stop())
 	}
+	close(b.stopped)
 	b.running.Wait()
 	return Error.Wrap(faults.Err())
 }
--- a/internal/packetlb/metrics.go
+++ b/internal/packetlb/metrics.go
@@ -10,9 +10,9 @@
 
 // metrics counts what the balancer does.
 type metrics struct {
-	malformed, foreign, readFailed, sendFailed, claimed *observe.Counter
-	verdicts                                            [flowsteer.ActionCount][flowsteer.ReasonCount]*observe.Counter
-	returned                                            [door.ReasonCount]*observe.Counter
+	malformed, foreign, readFailed, sendFailed, claimed, asked *observe.Counter
+	verdicts                                                   [flowsteer.ActionCount][flowsteer.ReasonCount]*observe.Counter
+	returned                                                   [door.ReasonCount]*observe.Counter
 	// logs holds a budget of lines for each action.
 	logs [flowsteer.ActionCount]*observe.LimitedLog
 }
@@ -24,6 +24,7 @@
 		readFailed: c.Counter("packets_read_failed", "Failed reads of the fabric's packets."),
 		sendFailed: c.Counter("packets_send_failed", "Packets that could not be sent."),
 		claimed:    c.Counter("flows_claimed", "Flows that agents have told of."),
+		asked:      c.Counter("flows_asked", "Questions to agents whether they hold a flow."),
 	}
 	c.GaugeFunc("flows", "Flows in the table.", flows)
 	for action := range flowsteer.ActionCount {
--- a/internal/packetlb/traffic.go
+++ b/internal/packetlb/traffic.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -41,6 +42,9 @@
 	now := model.Now()
 	b.mu.Lock()
 	verdict := b.table.Client(now, p)
+	if verdict.Action == flowsteer.ActionSearch || verdict.Action == flowsteer.ActionAsk {
+		b.table.Hold(p.FromClient(), packet)
+	}
 	b.mu.Unlock()
 	sender.carryOut(p.FromClient(), verdict, packet)
 }
@@ -68,7 +72,7 @@
 	if p.Opening() {
 		verdict = b.table.Refused(now, p, from, returned.Reason)
 	} else if returned.Reason == door.ReasonUnknownFlow {
-		verdict = b.table.Denied(now, p, from)
+		verdict = b.table.Returned(now, p, from)
 	}
 	b.mu.Unlock()
 	b.returns.carryOut(p.FromClient(), verdict, returned.Packet)
@@ -86,20 +90,74 @@
 
 // takeClaims takes an agent's word that it holds flows.
 func (b *balancer) takeClaims(from netip.Addr, datagram []byte) {
+	if keys := b.takeKeys(from, datagram, b.table.Claimed); keys > 0 {
+		b.metrics.claimed.Add(int64(keys))
+	}
+}
+
+// takeDenied takes an agent's word that it does not hold flows.
+func (b *balancer) takeDenied(from netip.Addr, datagram []byte) {
+	b.takeKeys(from, datagram, b.table.Denied)
+}
+
+// takeUnsure takes an agent's word that only its target can tell.
+func (b *balancer) takeUnsure(from netip.Addr, datagram []byte) {
+	b.takeKeys(from, datagram, b.table.Unsure)
+}
+
+// takeKeys hands each flow of a list to the table, carries the verdicts out and
+// returns the number of flows.
+func (b *balancer) takeKeys(from netip.Addr, datagram []byte, take func(model.Instant, flow.Key, netip.Addr) flowsteer.Verdict) int {
 	keys, err := packetnode.ParseKeys(datagram)
 	if err != nil {
 		b.metrics.malformed.Inc()
-		return
+		return 0
 	}
 	if !b.knows(from) {
-		return
+		return 0
 	}
 	now := model.Now()
-	b.metrics.claimed.Add(int64(len(keys)))
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	for _, key := range keys {
-		b.table.Claimed(now, key, from)
+		b.mu.Lock()
+		verdict := take(now, key, from)
+		b.mu.Unlock()
+		if verdict.Action != flowsteer.ActionDrop {
+			b.returns.carryOut(key, verdict, verdict.Packet)
+		}
+	}
+	return len(keys)
+}
+
+// askAgents asks all agents about the flows that are searched for, whenever there
+// are any.
+func (b *balancer) askAgents() {
+	var again <-chan time.Time
+	for {
+		select {
+		case <-b.stopped:
+			return
+		case <-b.searching:
+		case <-again:
+		}
+		b.mu.Lock()
+		questions, pause := b.table.Questions(model.Now())
+		b.mu.Unlock()
+		for _, question := range questions {
+			b.metrics.asked.Add(int64(len(question.Keys)))
+			b.node.SendKeys(question.Agent, packetnode.KindAsk, question.Keys)
+		}
+		again = nil
+		if pause > 0 {
+			again = time.After(pause)
+		}
+	}
+}
+
+// search has askAgents look for what there is to ask.
+func (b *balancer) search() {
+	select {
+	case b.searching <- struct{}{}:
+	default:
 	}
 }
 
@@ -124,6 +182,8 @@
 		for _, vm := range verdict.Agents {
 			s.forward(vm, packet, true)
 		}
+	case flowsteer.ActionAsk:
+		s.search()
 	case flowsteer.ActionReset:
 		s.reset(key, verdict.Sequence)
 	}
--- a/internal/packetnode/messages.go
+++ b/internal/packetnode/messages.go
@@ -23,12 +23,17 @@
 	KindReturn Kind = 2
 	// KindClaims names flows that an agent's target holds.
 	KindClaims Kind = 3
-	// KindClosed names flows that have ended at an agent's target.
-	KindClosed Kind = 4
+	// KindDenied names flows that an agent's target does not hold.
+	KindDenied Kind = 4
 	// KindBeat carries a node's Beat.
 	KindBeat Kind = 5
 	// KindPeers names nodes that the sender knows.
 	KindPeers Kind = 6
+	// KindAsk names flows that a balancer looks for.
+	KindAsk Kind = 7
+	// KindUnsure names flows of which the agent can't tell whether its target holds
+	// them.
+	KindUnsure Kind = 8
 )
 
 // flagSearch marks a copy of a packet whose agent the balancer does not know.
--- a/internal/packetnode/node.go
+++ b/internal/packetnode/node.go
@@ -5,12 +5,14 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/balsamlink/balsamlink/internal/flow"
 	"github.com/balsamlink/balsamlink/internal/model"
 	"github.com/balsamlink/balsamlink/internal/observe"
 	"github.com/balsamlink/balsamlink/internal/routing"
@@ -227,6 +229,13 @@
 	}
 }
 
+// SendKeys sends a list of flows to another node, in as many datagrams as it takes.
+func (n *Node) SendKeys(vm netip.Addr, kind Kind, keys []flow.Key) {
+	for list := range slices.Chunk(keys, MaxKeys) {
+		n.Send(vm, AppendKeys(nil, kind, list))
+	}
+}
+
 // SetState replaces the state that the node tells others, and tells them at once.
 func (n *Node) SetState(state State) {
 	n.state.Store(uint32(state))
