Send the packet of a searched flow to four unsure agents at a time

Change: copies go to four agents at a time, in the order of the flow's rank, and to the next one for each denial or after 100 ms.

--- a/internal/flowsteer/search.go
+++ b/internal/flowsteer/search.go
@@ -20,6 +20,10 @@
 	// maxCopies is how many packets of a flow are copied in one round, and how
 	// often an agent that can't tell is sent one.
 	maxCopies = 3
+	// copiesAway is how many agents that can't tell have a copy of a flow's packet at
+	// a time. With all agents restarted at once, copies to all of them would fill the
+	// link of a small VM.
+	copiesAway = 4
 	// roundTime is how long the answers to copies may take. It is the client's
 	// first retransmission timeout.
 	roundTime = 200 * time.Millisecond
@@ -47,23 +51,28 @@
 // search is the state of a search for a flow's agent.
 type search struct {
 	since model.Instant
-	// round is when the present round of copies began, and copies their number.
-	round  model.Instant
-	copies int
-	// likely are the agents that copies go to in the first stage.
+	// likely are the agents that copies go to in the first stage, and copies is the
+	// number of packets that were copied.
 	likely []netip.Addr
+	copies int
 	// all tells that the second stage has begun; asked is when the agents were
 	// last asked.
 	all   bool
 	asked model.Instant
 	// denied are the agents that do not hold the flow, and unsure those that can't
-	// tell, with the number of packets that they were sent.
+	// tell.
 	denied map[netip.Addr]bool
-	unsure map[netip.Addr]int
+	unsure map[netip.Addr]sent
 	// held is the client's last packet.
 	held []byte
 }
 
+// sent is what an agent that can't tell was sent.
+type sent struct {
+	copies int
+	last   model.Instant
+}
+
 // find searches for the agent of a flow with a packet at hand. An agent that has
 // just denied the flow is named.
 func (t *Table) find(now model.Instant, key flow.Key, known *record, denying netip.Addr) Verdict {
@@ -71,7 +80,7 @@
 		t.endSearch(key, known)
 	}
 	if known.search == nil {
-		known.search = &search{since: now, round: now, likely: t.likely(key), denied: map[netip.Addr]bool{}, unsure: map[netip.Addr]int{}}
+		known.search = &search{since: now, likely: t.likely(key), denied: map[netip.Addr]bool{}, unsure: map[netip.Addr]sent{}}
 	}
 	s := known.search
 	if denying.IsValid() {
@@ -80,18 +89,15 @@
 	if t.notFound(now, s) {
 		return t.giveUp(key, known, ReasonNotFound)
 	}
-	if !s.all && (s.exhausted() || now.Sub(s.round) >= roundTime) {
+	if !s.all && (s.exhausted() || now.Sub(s.since) >= roundTime) {
 		return t.askAll(key, known)
 	}
-	if now.Sub(s.round) >= roundTime {
-		s.round, s.copies = now, 0
+	if s.all {
+		return t.copyNext(now, key, s)
 	}
 	if s.copies >= maxCopies {
 		return Verdict{Reason: ReasonSearching}
 	}
-	if s.all {
-		return t.copyToUnsure(now, s)
-	}
 	s.copies++
 	return Verdict{Action: ActionSearch, Reason: ReasonUnknownFlow, Agents: s.likely}
 }
@@ -108,37 +114,56 @@
 
 // askAll begins the second stage.
 func (t *Table) askAll(key flow.Key, known *record) Verdict {
-	known.search.all, known.search.copies = true, 0
+	known.search.all = true
 	t.asking[key] = known
 	return Verdict{Action: ActionAsk, Reason: ReasonUnknownFlow}
 }
 
-// copyToUnsure sends a client's next packet to the agents that can't tell.
-func (t *Table) copyToUnsure(now model.Instant, s *search) Verdict {
-	var agents []netip.Addr
-	for vm := range s.unsure {
-		if !s.denied[vm] {
-			agents = append(agents, vm)
+// copyNext sends a packet to the next agent that can't tell, unless enough have
+// one: the agents at which the flow is more likely come first.
+func (t *Table) copyNext(now model.Instant, key flow.Key, s *search) Verdict {
+	var next netip.Addr
+	var best uint64
+	away := 0
+	for vm, sent := range s.unsure {
+		switch {
+		case s.denied[vm] || sent.copies >= maxCopies:
+		case sent.copies > 0 && now.Sub(sent.last) < askAgain:
+			away++
+		default:
+			if rank := key.Rank(vm); !next.IsValid() || rank > best {
+				next, best = vm, rank
+			}
 		}
 	}
-	if len(agents) == 0 {
+	if !next.IsValid() || away >= copiesAway {
 		return Verdict{Reason: ReasonSearching}
 	}
-	if !t.spend(now, len(agents)) {
+	if !t.spend(now) {
 		return Verdict{Reason: ReasonSearchBudget}
 	}
-	s.copies++
-	return Verdict{Action: ActionSearch, Reason: ReasonUnknownFlow, Agents: agents}
+	s.unsure[next] = sent{copies: s.unsure[next].copies + 1, last: now}
+	return Verdict{Action: ActionSearch, Reason: ReasonUnknownFlow, Agents: []netip.Addr{next}}
 }
 
-// spend takes copies from the budget, unless it is used up.
-func (t *Table) spend(now model.Instant, copies int) bool {
+// copyHeld does the same with the packet that is held, if there is one.
+func (t *Table) copyHeld(now model.Instant, key flow.Key, s *search) Verdict {
+	if !s.all || s.held == nil {
+		return Verdict{Reason: ReasonSearching}
+	}
+	verdict := t.copyNext(now, key, s)
+	verdict.Packet = s.held
+	return verdict
+}
+
+// spend takes a copy from the budget, unless it is used up.
+func (t *Table) spend(now model.Instant) bool {
 	t.credit = min(copyBurst, t.credit+copyRate*now.Sub(t.credited).Seconds())
 	t.credited = now
-	if t.credit < float64(copies) {
+	if t.credit < 1 {
 		return false
 	}
-	t.credit -= float64(copies)
+	t.credit--
 	return true
 }
 
@@ -190,7 +215,7 @@
 		}
 		s.asked = now
 		for vm, agent := range t.view.Agents {
-			if agent.State != AgentGone && !s.denied[vm] && s.unsure[vm] < maxCopies {
+			if agent.State != AgentGone && !s.denied[vm] && s.unsure[vm].copies < maxCopies {
 				keys[vm] = append(keys[vm], key)
 			}
 		}
@@ -220,11 +245,11 @@
 	if !s.all && s.exhausted() {
 		return t.askAll(key, known)
 	}
-	return Verdict{Reason: ReasonSearching}
+	return t.copyHeld(now, key, s)
 }
 
 // Unsure takes an agent's word that only its target can tell whether it holds a
-// flow. The packet that is held goes there.
+// flow. The packet that is held goes there when its turn has come.
 func (t *Table) Unsure(now model.Instant, key flow.Key, agent netip.Addr) Verdict {
 	t.wake(now)
 	known := t.records[key]
@@ -232,16 +257,10 @@
 		return Verdict{Reason: ReasonEnded}
 	}
 	s := known.search
-	sent := s.unsure[agent]
-	s.unsure[agent] = sent
-	if s.held == nil || sent >= maxCopies {
-		return Verdict{Reason: ReasonSearching}
-	}
-	if !t.spend(now, 1) {
-		return Verdict{Reason: ReasonSearchBudget}
+	if _, told := s.unsure[agent]; !told {
+		s.unsure[agent] = sent{}
 	}
-	s.unsure[agent]++
-	return Verdict{Action: ActionSearch, Reason: ReasonUnknownFlow, Agents: []netip.Addr{agent}, Packet: s.held}
+	return t.copyHeld(now, key, s)
 }
 
 // Returned decides on a packet of an open flow that the agent which the table
--- a/internal/flowsteer/table_test.go
+++ b/internal/flowsteer/table_test.go
@@ -392,22 +392,70 @@
 
 // Agents that can't tell are sent copies within a budget.
 func TestCopiesToUnsureAgentsHaveABudget(t *testing.T) {
-	b := manyAgents(200)
+	const flows, agents = 1000, 200
+	b := manyAgents(agents)
+	for n := range flows {
+		b.client(data(n))
+	}
+	b.now = b.now.Add(250 * time.Millisecond)
 	copies := func() int {
 		sum := 0
-		for n := range 500 {
+		for n := range flows {
 			key := data(n).FromClient()
-			b.client(data(n))
+			sum += len(b.client(data(n)).Agents)
 			b.table.Hold(key, []byte("packet"))
-			for i := range 200 {
+			for i := range agents {
 				sum += len(b.table.Unsure(b.now, key, vm(i)).Agents)
 			}
+			for range 10 {
+				sum += len(b.client(data(n)).Agents)
+			}
 		}
 		return sum
 	}
-	require.LessOrEqual(t, copies(), 5000)
+	require.Equal(t, 4000, copies())
 	b.now = b.now.Add(250 * time.Millisecond)
-	require.LessOrEqual(t, copies(), 1250)
+	require.Equal(t, 1000, copies())
+}
+
+// When all agents have restarted, a flow's packet goes to a few of them at a time,
+// first to those at which the flow is more likely, until one holds it.
+func TestFewAgentsHaveACopyAtATime(t *testing.T) {
+	const agents = 56
+	b := manyAgents(agents)
+	key := data(1).FromClient()
+	b.seekEverywhere(t, 1, allVMs(agents)...)
+	away := map[netip.Addr]bool{}
+	take := func(verdict flowsteer.Verdict) {
+		for _, agent := range verdict.Agents {
+			require.False(t, away[agent], "no agent gets it twice")
+			away[agent] = true
+		}
+	}
+	for n := range agents {
+		take(b.table.Unsure(b.now, key, vm(n)))
+	}
+	require.Len(t, away, 4)
+	first := away
+	away = map[netip.Addr]bool{}
+	last := ^uint64(0)
+	for agent := range first {
+		verdict := b.table.Denied(b.now, key, agent)
+		take(verdict)
+		require.Less(t, key.Rank(verdict.Agents[0]), last)
+		last = key.Rank(verdict.Agents[0])
+	}
+	require.Len(t, away, 4)
+	b.now = b.now.Add(100 * time.Millisecond)
+	require.Len(t, b.table.Unsure(b.now, key, vm(0)).Agents, 1, "copies that are not answered make room")
+}
+
+func allVMs(count int) []netip.Addr {
+	var vms []netip.Addr
+	for n := range count {
+		vms = append(vms, vm(n))
+	}
+	return vms
 }
 
 func TestDeniedFlowIsGivenUpOnlyWhenEveryAgentHasDeniedIt(t *testing.T) {
