Add a fault soak, and take targets whose clock was set back

A soak (internal/soak, balsamdev soak): real processes on loopback, signals, a proxy between each node and the store, losses between clients and balancers, store outages, lapses, drains, evacuations, configurations, targets with wrong clocks, in overlapping series drawn from a seed. A heartbeat that seems older now closes the door until the known target is heard again. Also: an agent that answers no question for 1.5 s and does not report counts as lost for searches; reports are rare in large deployments (2.7 s at 20 balancers, 67 s at 560, worked out).

--- a/cmd/balsamdev/main.go
+++ b/cmd/balsamdev/main.go
@@ -11,6 +11,7 @@
 	"github.com/balsamlink/balsamlink/internal/devcerts"
 	"github.com/balsamlink/balsamlink/internal/experiment"
 	"github.com/balsamlink/balsamlink/internal/load"
+	"github.com/balsamlink/balsamlink/internal/soak"
 	"github.com/balsamlink/balsamlink/internal/standin/bare"
 	"github.com/balsamlink/balsamlink/internal/standin/deployment"
 	"github.com/balsamlink/balsamlink/internal/standin/fabric"
@@ -33,6 +34,7 @@
 			load.Command(),
 			experiment.Command(),
 			site.Command(),
+			soak.Command(),
 		},
 	}
 	os.Exit(command.Execute(root, os.Args))
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -141,6 +141,9 @@
 	started model.Instant
 	target  Target
 	heard   model.Instant
+	// doubted tells that a heartbeat came that seems older than the target, and none
+	// of the target itself since.
+	doubted bool
 	// opened holds the times of new flows within the last cold window.
 	opened []model.Instant
 	flows  map[flow.Key]*entry
@@ -184,18 +187,23 @@
 func (d *Door) Cold(now model.Instant) bool { return now < d.target.ColdUntil }
 
 // Announce takes a heartbeat. It reports whether a new incarnation has begun,
-// which knows none of the flows before.
+// which knows none of the flows before. One that seems older is new if the known
+// one has ended or is silent: the VM's clock was set back.
 func (d *Door) Announce(now model.Instant, a Announcement) (restarted bool, err error) {
 	if a.Service != d.config.Service || a.Address != d.config.Address {
 		return false, Error.New("%w: %s at %s", ErrForeign, a.Service, a.Address)
 	}
-	if a.Born < d.target.Born || (a.Born == d.target.Born && a.Sequence <= d.target.Sequence) {
+	older := a.Born < d.target.Born && !d.target.Gone && d.Silent(now) <= missedHeartbeats*d.config.Heartbeat
+	if older {
+		d.doubted = true
+	}
+	if older || (a.Born == d.target.Born && a.Sequence <= d.target.Sequence) {
 		return false, Error.New("%w: incarnation %d, heartbeat %d", ErrStale, a.Born, a.Sequence)
 	}
 	if a.Born == d.target.Born && d.target.Gone {
 		return false, Error.New("%w: the incarnation has departed", ErrStale)
 	}
-	restarted = d.target.Born != 0 && a.Born > d.target.Born
+	restarted = d.target.Born != 0 && a.Born != d.target.Born
 	if restarted {
 		d.complete = true
 	}
@@ -203,7 +211,7 @@
 		d.adoptFlows(a.Born)
 		d.complete = d.complete || d.isFirst(a)
 	}
-	d.heard = now
+	d.heard, d.doubted = now, false
 	d.target = Target{
 		Known: true, ID: a.ID, Born: a.Born, Sequence: a.Sequence, Slots: a.Slots, Draining: a.Draining,
 		ColdUntil: now.Add(a.WarmUpLeft),
@@ -267,7 +275,7 @@
 		return ReasonNoTarget
 	case d.target.Draining || d.target.Gone:
 		return ReasonLeaving
-	case d.Silent(now) > missedHeartbeats*d.config.Heartbeat:
+	case d.doubted, d.Silent(now) > missedHeartbeats*d.config.Heartbeat:
 		return ReasonNoTarget
 	default:
 		return ReasonNone
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -349,6 +349,34 @@
 	}
 }
 
+// A target that starts after its VM's clock was set back seems older than the one
+// before it. It is taken once that one has ended or is silent.
+func TestTargetIsTakenAfterItsClockWasSetBack(t *testing.T) {
+	ends := map[string]func(b *bench){
+		"departed": func(b *bench) { require.NoError(t, b.door.Depart(door.Departure{ID: "i-1"})) },
+		"lost":     func(b *bench) { b.door.Lost() },
+		"silent":   func(b *bench) { b.now = b.now.Add(3100 * time.Millisecond) },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			require.NoError(t, b.announce(nil))
+			b.enter(key(1, feedAddress))
+			b.request(key(1, feedAddress))
+			back := func(a *door.Announcement) { a.ID, a.Born, a.Sequence = "i-2", 500, 1 }
+			require.ErrorIs(t, b.announce(back), door.ErrStale, "the known target may live")
+			require.False(t, b.door.Ready(b.now), "a new flow might open at either")
+			require.NoError(t, b.announce(func(a *door.Announcement) { a.Sequence += 10 }))
+			require.True(t, b.door.Ready(b.now), "it does: the other heartbeat was late")
+			b.sequence += 10
+			end(b)
+			require.NoError(t, b.announce(back))
+			require.True(t, b.door.Ready(b.now))
+			require.Len(t, b.door.Losses(b.now, 0), 1, "it knows no flow of the one before")
+		})
+	}
+}
+
 // Copies of an opening packet may enter at two targets. The one whose consent the
 // client has not acknowledged says nothing when its target ends.
 func TestFlowThatMayHaveOpenedElsewhereIsNotReset(t *testing.T) {
--- a/internal/flowsteer/search.go
+++ b/internal/flowsteer/search.go
@@ -43,6 +43,9 @@
 	// the round trip between zones, and the pause of a process whose share of the
 	// processor is used up for a while.
 	askAgain = 100 * time.Millisecond
+	// unansweredTime is how long an agent must have answered no question and sent no
+	// report to be taken as lost. In large deployments reports are rare.
+	unansweredTime = 1500 * time.Millisecond
 	// maxHeld bounds the packets that wait for the end of a search. Clients repeat
 	// those that are not held.
 	maxHeld = 256
@@ -217,10 +220,14 @@
 		for vm, agent := range t.view.Agents {
 			if agent.State != AgentGone && !s.denied[vm] && s.unsure[vm].copies < maxCopies {
 				keys[vm] = append(keys[vm], key)
+				if _, waits := t.unanswered[vm]; !waits {
+					t.unanswered[vm] = now
+				}
 			}
 		}
 	}
 	if len(t.asking) == 0 {
+		clear(t.unanswered)
 		return nil, 0
 	}
 	questions := make([]Question, 0, len(keys))
@@ -233,6 +240,7 @@
 // Denied takes an agent's word that it does not hold a flow that is searched for.
 func (t *Table) Denied(now model.Instant, key flow.Key, agent netip.Addr) Verdict {
 	t.wake(now)
+	delete(t.unanswered, agent)
 	known := t.records[key]
 	if known == nil || known.search == nil {
 		return Verdict{Reason: ReasonEnded}
@@ -252,6 +260,7 @@
 // flow. The packet that is held goes there when its turn has come.
 func (t *Table) Unsure(now model.Instant, key flow.Key, agent netip.Addr) Verdict {
 	t.wake(now)
+	delete(t.unanswered, agent)
 	known := t.records[key]
 	if known == nil || known.search == nil {
 		return Verdict{Reason: ReasonEnded}
@@ -286,13 +295,19 @@
 		return false
 	}
 	for vm, agent := range t.view.Agents {
-		if !s.denied[vm] && !agent.lost(now, t.resumed) {
+		if !s.denied[vm] && !agent.lost(now, t.resumed) && !t.unanswering(now, vm, agent) {
 			return false
 		}
 	}
 	return true
 }
 
+// unanswering reports whether an agent neither answers questions nor reports.
+func (t *Table) unanswering(now model.Instant, vm netip.Addr, agent *Agent) bool {
+	since, asked := t.unanswered[vm]
+	return asked && agent.State != AgentRestarting && now.Sub(max(since, agent.Heard, t.resumed)) > unansweredTime
+}
+
 // settled reports whether the balancer knows all agents that may hold a flow.
 func (t *Table) settled(now model.Instant) bool {
 	return t.view.Listed || now.Sub(t.started) >= unsettledTime
--- a/internal/flowsteer/table.go
+++ b/internal/flowsteer/table.go
@@ -146,6 +146,8 @@
 	// packets that wait for the end of a search.
 	asking map[flow.Key]*record
 	held   int
+	// unanswered is when an agent was first asked a question since its last answer.
+	unanswered map[netip.Addr]model.Instant
 	// credit is the number of copies that may go to unsure agents, as of credited.
 	credit   float64
 	credited model.Instant
@@ -167,8 +169,8 @@
 		view:    &View{},
 		records: map[flow.Key]*record{},
 		placed:  map[netip.Addr]int{},
-		asking:  map[flow.Key]*record{},
-		credit:  copyBurst, credited: now,
+		asking:  map[flow.Key]*record{}, unanswered: map[netip.Addr]model.Instant{},
+		credit: copyBurst, credited: now,
 	}
 }
 
@@ -333,6 +335,7 @@
 // Claimed takes an agent's word that it holds a flow, and decides on the packet
 // that was held meanwhile.
 func (t *Table) Claimed(now model.Instant, key flow.Key, agent netip.Addr) Verdict {
+	delete(t.unanswered, agent)
 	known := t.records[key]
 	if known == nil {
 		if len(t.records) >= t.limits.Flows {
--- a/internal/flowsteer/table_test.go
+++ b/internal/flowsteer/table_test.go
@@ -380,6 +380,30 @@
 	require.Nil(t, b.table.Claimed(b.now, key, vm(7)).Packet, "once")
 }
 
+// In large deployments reports are rare: an agent that answers no question is
+// taken as lost before its reports are overdue, but not while it reports.
+func TestAgentThatAnswersNoQuestionIsLost(t *testing.T) {
+	b := manyAgents(20)
+	b.agents[vm(2)].Interval, b.agents[vm(3)].Interval = 10*time.Second, 10*time.Second
+	ask := func(d time.Duration, silent ...netip.Addr) {
+		for end := b.now.Add(d); b.now < end; {
+			b.table.Questions(b.now)
+			b.pass(100*time.Millisecond, silent...)
+		}
+	}
+	b.seekEverywhere(t, 1, vm(2), vm(3))
+	ask(2*time.Second, vm(2))
+	require.Empty(t, b.expire(), "one of them reports")
+	verdict := b.table.Denied(b.now, data(1).FromClient(), vm(3))
+	require.Equal(t, flowsteer.ActionReset, verdict.Action)
+
+	b = manyAgents(20)
+	b.agents[vm(2)].Interval, b.agents[vm(2)].State = 10*time.Second, flowsteer.AgentRestarting
+	b.seekEverywhere(t, 1, vm(2))
+	ask(2*time.Second, vm(2))
+	require.Empty(t, b.expire(), "it has announced that it comes back")
+}
+
 // A flow that only a lost agent can have held is given up without a packet.
 func TestFlowThatOnlyALostAgentCanHoldIsGivenUp(t *testing.T) {
 	b := manyAgents(5)
--- /dev/null
+++ b/internal/soak/command.go
@@ -0,0 +1,61 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Command returns the command "soak" of balsamdev.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run real processes while faults drawn from a seed come, and check what clients and targets see",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "programs", Usage: "`FOLDER` with the programs", Value: "bin"},
+			&cli.StringFlag{Name: "folder", Usage: "`FOLDER` for settings and logs", Value: "run/soak"},
+			&cli.Uint64Flag{Name: "seed", Usage: "first seed", Value: 1},
+			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: 1},
+			&cli.DurationFlag{Name: "duration", Usage: "how long faults come for each seed", Value: 8 * time.Second},
+			&cli.IntFlag{Name: "targets", Usage: "number of targets of the larger service", Value: 4},
+			&cli.IntFlag{Name: "balancers", Usage: "number of balancers in each of the two zones", Value: 2},
+			&cli.IntFlag{Name: "clients", Usage: "number of clients", Value: 20},
+			&cli.IntFlag{Name: "octet", Usage: "second octet of the loopback addresses", Value: 70},
+		},
+		Action: runSeeds,
+	}
+}
+
+// runSeeds plays seeds one after the other and prints a report for each.
+func runSeeds(ctx context.Context, command *cli.Command) error {
+	// Processes that were started end with the run.
+	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	broken := 0
+	for n := range command.Int("seeds") {
+		seed := command.Uint64("seed") + uint64(n)
+		report, err := Run(ctx, Config{
+			Seed: seed, Duration: command.Duration("duration"), Targets: command.Int("targets"), Balancers: command.Int("balancers"),
+			Clients: command.Int("clients"), Programs: command.String("programs"), Folder: folderOf(command.String("folder"), seed),
+			Octet: byte(command.Int("octet")),
+		})
+		if err != nil {
+			return err
+		}
+		if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
+			return Error.Wrap(err)
+		}
+		if len(report.Broken) > 0 {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return Error.New("promises were broken with %d of %d seeds", broken, command.Int("seeds"))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/link.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// linkMode is how a link treats connections.
+type linkMode int32
+
+const (
+	linkOpen linkMode = iota
+	// linkSlow delays each read.
+	linkSlow
+	// linkReset resets connections.
+	linkReset
+	// linkSilent passes nothing on.
+	linkSilent
+	// linkDeaf passes requests on, but no answers.
+	linkDeaf
+	linkModes
+)
+
+const (
+	// linkDelay is the delay of each read of a slow link.
+	linkDelay  = 60 * time.Millisecond
+	linkBuffer = 4096
+)
+
+// link is a proxy on loopback between one node and the store.
+type link struct {
+	listener net.Listener
+	target   netip.AddrPort
+	mode     atomic.Int32
+	running  sync.WaitGroup
+	mu       sync.Mutex
+	open     map[net.Conn]bool
+}
+
+func newLink(address, target netip.AddrPort) (*link, error) {
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return nil, err
+	}
+	l := &link{listener: listener, target: target, open: map[net.Conn]bool{}}
+	l.running.Go(l.accept)
+	return l, nil
+}
+
+func (l *link) set(mode linkMode) {
+	l.mode.Store(int32(mode))
+	if mode == linkReset {
+		l.closeAll()
+	}
+}
+
+func (l *link) closeAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for connection := range l.open {
+		connection.Close()
+	}
+}
+
+func (l *link) close() {
+	l.listener.Close()
+	l.closeAll()
+	l.running.Wait()
+}
+
+func (l *link) accept() {
+	for {
+		connection, err := l.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || linkMode(l.mode.Load()) == linkReset {
+			abort(connection)
+			continue
+		}
+		store, err := net.Dial("tcp4", l.target.String())
+		if err != nil {
+			abort(connection)
+			continue
+		}
+		l.mu.Lock()
+		l.open[connection], l.open[store] = true, true
+		l.mu.Unlock()
+		l.running.Go(func() { l.pass(store, connection, linkSilent) })
+		l.running.Go(func() { l.pass(connection, store, linkDeaf) })
+	}
+}
+
+// abort resets a connection.
+func abort(connection net.Conn) {
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+		tcp.Close()
+	}
+}
+
+// pass copies one direction; it swallows what comes while the link is silent or
+// in another mode.
+func (l *link) pass(to io.WriteCloser, from net.Conn, swallow linkMode) {
+	defer to.Close()
+	defer func() {
+		l.mu.Lock()
+		delete(l.open, from)
+		l.mu.Unlock()
+	}()
+	buffer := make([]byte, linkBuffer)
+	for {
+		size, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		switch mode := linkMode(l.mode.Load()); mode {
+		case linkSilent, swallow:
+			continue
+		case linkSlow:
+			time.Sleep(linkDelay)
+		}
+		if _, err := to.Write(buffer[:size]); err != nil {
+			return
+		}
+	}
+}
--- a/internal/standin/site/client.go
+++ b/internal/standin/site/client.go
@@ -36,6 +36,8 @@
 	OutcomeReset
 	// OutcomeLate requests got no answer by their deadline.
 	OutcomeLate
+	// OutcomeClosed requests came too late: the target had closed the flow.
+	OutcomeClosed
 	// OutcomeWrong requests got another answer than theirs.
 	OutcomeWrong
 )
@@ -65,6 +67,8 @@
 	begun  time.Time
 	opened bool
 	reset  bool
+	// closed tells that the target has closed its end.
+	closed bool
 	input  bytes.Buffer
 	// changed is signalled when anything has come.
 	changed chan struct{}
@@ -108,7 +112,7 @@
 	f.first = packet{source: local, destination: service, flags: wire.FlagSyn, sequence: rand.Uint32()}
 	f.stream = stream{
 		local: local, remote: service, next: f.first.sequence + 1, early: map[uint32]packet{},
-		send: f.send, receive: func(data []byte) { f.input.Write(data) },
+		send: f.send, receive: f.take,
 	}
 	c.flows[f.Key] = f
 	f.sendFirst()
@@ -123,6 +127,12 @@
 	return f
 }
 
+// take takes data in order; nil is the end.
+func (f *Flow) take(data []byte) {
+	f.input.Write(data)
+	f.closed = f.closed || data == nil
+}
+
 func (f *Flow) sendFirst() {
 	p := f.first
 	p.ack = uint32(f.copies)
@@ -183,6 +193,9 @@
 	if f.reset {
 		return OutcomeReset, true
 	}
+	if f.closed {
+		return OutcomeClosed, true
+	}
 	return OutcomeLate, false
 }
 
--- a/internal/standin/site/command.go
+++ b/internal/standin/site/command.go
@@ -54,7 +54,7 @@
 	if err := json.NewEncoder(os.Stdout).Encode(tally); err != nil {
 		return Error.Wrap(err)
 	}
-	if tally.Wrong+tally.Broken+tally.Forged+tally.Reset+tally.NotOpened+tally.Late > 0 || tally.Served == 0 {
+	if tally.Wrong+tally.Broken+tally.Forged+tally.Reset+tally.NotOpened+tally.Late+tally.Closed > 0 || tally.Served == 0 {
 		return Error.New("not every request was served")
 	}
 	return nil
--- a/internal/standin/site/load.go
+++ b/internal/standin/site/load.go
@@ -24,6 +24,7 @@
 	NotOpened int `json:"not_opened"`
 	Late      int `json:"late"`
 	Reset     int `json:"reset"`
+	Closed    int `json:"closed"`
 	Wrong     int `json:"wrong"`
 	// Broken flows were reset or got no answer while their target held them.
 	Broken int `json:"broken"`
@@ -131,6 +132,8 @@
 		l.tally.NotOpened++
 	case OutcomeReset:
 		l.tally.Reset++
+	case OutcomeClosed:
+		l.tally.Closed++
 	case OutcomeLate:
 		l.tally.Late++
 	case OutcomeWrong:
--- a/internal/standin/site/router.go
+++ b/internal/standin/site/router.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamlink/balsamlink/internal/flow"
@@ -45,6 +46,7 @@
 	socket *net.UDPConn
 	stop   context.CancelFunc
 	done   sync.WaitGroup
+	loss   atomic.Pointer[func(zone string) bool]
 
 	mu      sync.Mutex
 	entries []*entry
@@ -84,9 +86,21 @@
 	r.entries = slices.DeleteFunc(r.entries, func(e *entry) bool { return e.packets == packets })
 }
 
+// SetLoss decides which packets of clients of a zone are lost; nil loses none.
+func (r *Router) SetLoss(loss func(zone string) bool) {
+	if loss == nil {
+		r.loss.Store(nil)
+		return
+	}
+	r.loss.Store(&loss)
+}
+
 // Route sends a client's packet to a balancer of its zone.
 func (r *Router) Route(zone string, key flow.Key, datagram []byte) {
 	target := r.choose(zone, key)
+	if loss := r.loss.Load(); loss != nil && (*loss)(zone) {
+		return
+	}
 	if target.IsValid() {
 		// A packet that can't be sent is lost, as on a real network.
 		_, _ = r.socket.WriteToUDPAddrPort(datagram, target)
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -41,8 +41,10 @@
 	programAgent    = "balsampktagent"
 )
 
+// Grace is how long a process may take to end.
+const Grace = 3 * time.Second
+
 const (
-	graceSeconds   = 3
 	startTimeout   = 10 * time.Second
 	pollInterval   = 20 * time.Millisecond
 	nodeMemory     = 128
@@ -70,6 +72,9 @@
 	Octet byte
 	// Cold is how long targets are cold after their start.
 	Cold time.Duration
+	// Gateway returns the address at which a VM reaches the store; nil stands for the
+	// store's own.
+	Gateway func(vm netip.Addr, store netip.AddrPort) netip.AddrPort
 }
 
 // Node is one process of the system.
@@ -194,7 +199,11 @@
 	for _, zone := range s.shape.Zones {
 		zones = append(zones, model.Zone(zone))
 	}
-	underlay, err := json.Marshal(platform.Settings{Address: s.address(0, 1, portStore), TimeoutMillis: 400})
+	store := s.address(0, 1, portStore)
+	if s.shape.Gateway != nil {
+		store = s.shape.Gateway(vm, store)
+	}
+	underlay, err := json.Marshal(platform.Settings{Address: store, TimeoutMillis: 400})
 	if err != nil {
 		panic("site: settings: " + err.Error())
 	}
@@ -202,7 +211,7 @@
 		Name: name, VM: vm, Zone: model.Zone(zone), Zones: zones, Packets: at(portPackets), Readiness: at(portReadiness),
 		Metrics: at(portMetrics), Ports: []uint16{portMesh, portMesh}, Seeds: s.seeds(),
 		Underlay:        packetnode.Underlay{Plugin: platform.Name, Settings: underlay},
-		MemoryMegabytes: nodeMemory, GraceSeconds: graceSeconds, FlowLifetimeSeconds: flowLifetime,
+		MemoryMegabytes: nodeMemory, GraceSeconds: Grace.Seconds(), FlowLifetimeSeconds: flowLifetime,
 	}
 }
 
@@ -239,11 +248,14 @@
 }
 
 // StartTarget starts a new incarnation of the target beside an agent.
-func (s *Site) StartTarget(node *Node) error {
+func (s *Site) StartTarget(node *Node) error { return s.StartTargetAhead(node, 0) }
+
+// StartTargetAhead does so with a clock that is ahead, or behind.
+func (s *Site) StartTargetAhead(node *Node, ahead time.Duration) error {
 	target := node.settings.Target
 	started, err := StartTarget(TargetConfig{
 		Service: string(target.Service), Zone: node.Zone(), Address: target.Address, Outbound: target.Outbound,
-		Registration: target.Registration, Slots: targetSlots, Cold: s.shape.Cold,
+		Registration: target.Registration, Slots: targetSlots, Cold: s.shape.Cold, Ahead: ahead,
 	})
 	if err != nil {
 		return err
@@ -316,6 +328,9 @@
 	return err
 }
 
+// Ended reports whether a node's process has ended.
+func (s *Site) Ended(node *Node) bool { return len(node.ended) > 0 }
+
 // Nodes returns the nodes in the order of their names: balancers, or the agents
 // of a service.
 func (s *Site) Nodes(service string) []*Node {
--- a/internal/standin/site/target.go
+++ b/internal/standin/site/target.go
@@ -34,6 +34,8 @@
 	Slots        int
 	// Cold is how long the target is cold after its start.
 	Cold time.Duration
+	// Ahead is how far the target's clock is ahead.
+	Ahead time.Duration
 }
 
 // Seen counts what a target has seen.
@@ -86,7 +88,7 @@
 	}
 	born := time.Now()
 	t := &Target{
-		config: config, id: fmt.Sprintf("i-%x", born.UnixNano()), born: born.UnixMilli(), socket: socket,
+		config: config, id: fmt.Sprintf("i-%x", born.UnixNano()), born: born.Add(config.Ahead).UnixMilli(), socket: socket,
 		slots: make(chan struct{}, config.Slots), flows: map[flow.Key]*targetFlow{}, acked: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -177,7 +179,7 @@
 		state = wire.StateDraining
 	}
 	address, version := t.config.Address.String(), "v1"
-	warm := max(0, t.config.Cold.Milliseconds()-(time.Now().UnixMilli()-t.born))
+	warm := max(0, t.config.Cold.Milliseconds()-(time.Now().Add(t.config.Ahead).UnixMilli()-t.born))
 	acknowledged := t.call(ctx, "/heartbeat", wire.Heartbeat{
 		Service: &t.config.Service, Address: &address, Zone: &t.config.Zone, Version: &version, Slots: &t.config.Slots,
 		State: &state, WarmUpLeftMillis: &warm, Sequence: &sequence, Born: &t.born,
