Bound a round of questions to one datagram an agent, and count offers after a drain in the soak

Cause: questions about 500 flows sent six datagrams to each agent at once; the spacing of a thousand datagrams a second held for rounds only. Test first: 90 flows a round.

--- a/internal/flowsteer/search.go
+++ b/internal/flowsteer/search.go
@@ -35,8 +35,11 @@
 	// the processor of the smallest entry VM, 0.06 cores.
 	copyRate  = 4000
 	copyBurst = 4000
+	// flowsPerRound is how many flows the agents are asked about at a time, so that
+	// the question to each fits one datagram.
+	flowsPerRound = 90
 	// askInterval is the shortest time between two rounds of questions, and
-	// askSpacing that for each agent: a thousand questions a second.
+	// askSpacing that for each agent: a thousand datagrams a second.
 	askInterval = 10 * time.Millisecond
 	askSpacing  = time.Millisecond
 	// askAgain is when an agent that has not answered is asked again. It exceeds
@@ -207,15 +210,17 @@
 // 0 tells that no search is on.
 func (t *Table) Questions(now model.Instant) ([]Question, time.Duration) {
 	keys := map[netip.Addr][]flow.Key{}
+	flows := 0
 	for key, known := range t.asking {
 		s := known.search
 		if now.Sub(s.since) >= searchTime {
 			t.endSearch(key, known)
 			continue
 		}
-		if s.asked != 0 && now.Sub(s.asked) < askAgain {
+		if flows == flowsPerRound || (s.asked != 0 && now.Sub(s.asked) < askAgain) {
 			continue
 		}
+		flows++
 		s.asked = now
 		for vm, agent := range t.view.Agents {
 			if agent.State != AgentGone && !s.denied[vm] && s.unsure[vm].copies < maxCopies {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,6 +32,9 @@
 	calmTime = 5 * time.Second
 	// restTime is the pause between two faults on one node.
 	restTime = time.Second
+	// inFlight is how long a packet may be on its way on loopback that was let
+	// through before an acknowledgement.
+	inFlight = 50 * time.Millisecond
 	// requestPause is the pause between two requests on a flow.
 	requestPause = 80 * time.Millisecond
 	// answerSize is the size of an answer, in bytes.
@@ -406,10 +409,11 @@
 func (r *run) drain(agent *site.Node, pause time.Duration) {
 	target := r.site.Target(agent)
 	target.Drain()
-	opened := target.Seen().Opened
+	time.Sleep(inFlight)
+	offered := target.Seen().Offered
 	time.Sleep(pause)
-	if more := target.Seen().Opened; more > opened {
-		r.breach("%d flows opened at the target of %s after it was drained", more-opened, agent.Name)
+	if more := target.Seen().Offered; more > offered {
+		r.breach("%d flows were offered to the target of %s after it was drained", more-offered, agent.Name)
 	}
 	r.replace(agent, 0, 0, target.Leave)
 }
--- a/internal/standin/site/target.go
+++ b/internal/standin/site/target.go
@@ -41,6 +41,8 @@
 // Seen counts what a target has seen.
 type Seen struct {
 	Opened, Requests, Bounced int
+	// Offered are the flows whose opening packet came.
+	Offered int
 	// Forged packets are not as their sender wrote them.
 	Forged int
 	// OpenedAt are the times at which flows were opened.
@@ -257,6 +259,7 @@
 			early: map[uint32]packet{}, send: t.send, receive: func(data []byte) { t.receive(key, data) },
 		}
 		t.flows[key] = held
+		t.seen.Offered++
 	}
 	t.send(packet{
 		source: key.Service, destination: key.Client, flags: wire.FlagSyn | wire.FlagAck,
