--- a/internal/flowsteer/explain.go
+++ b/internal/flowsteer/explain.go
@@ -17,7 +17,7 @@
 			known.agent, known.opened, now.Sub(known.seen).Milliseconds(), t.agentLost(now, known.agent))
 	} else if known != nil && known.search != nil {
 		say("searching: all agents asked %t, denied by %d of %d agents, only the targets of %d can tell",
-			known.search.all, len(known.search.denied), len(t.view.Agents), len(known.search.unsure))
+			known.search.wide, len(known.search.denied), len(t.view.Agents), len(known.search.unsure))
 	} else {
 		say("unknown: a packet of an open flow would be searched for at %d agents", len(t.view.Agents))
 	}
--- a/internal/flowsteer/search.go
+++ b/internal/flowsteer/search.go
@@ -61,9 +61,9 @@
 	// number of packets that were copied.
 	likely []netip.Addr
 	copies int
-	// all tells that the second stage has begun; asked is when the agents were
+	// wide tells that the second stage has begun; asked is when the agents were
 	// last asked.
-	all   bool
+	wide  bool
 	asked model.Instant
 	// denied are the agents that do not hold the flow, and unsure those that can't
 	// tell.
@@ -95,10 +95,10 @@
 	if t.notFound(now, s) {
 		return t.giveUp(key, known, ReasonNotFound)
 	}
-	if !s.all && (s.exhausted() || now.Sub(s.since) >= roundTime) {
+	if !s.wide && (s.exhausted() || now.Sub(s.since) >= roundTime) {
 		return t.askAll(key, known)
 	}
-	if s.all {
+	if s.wide {
 		return t.copyNext(now, key, s)
 	}
 	if s.copies >= maxCopies {
@@ -120,7 +120,7 @@
 
 // askAll begins the second stage.
 func (t *Table) askAll(key flow.Key, known *record) Verdict {
-	known.search.all = true
+	known.search.wide = true
 	t.asking[key] = known
 	return Verdict{Action: ActionAsk, Reason: ReasonUnknownFlow}
 }
@@ -154,7 +154,7 @@
 
 // copyHeld does the same with the packet that is held, if there is one.
 func (t *Table) copyHeld(now model.Instant, key flow.Key, s *search) Verdict {
-	if !s.all || s.held == nil {
+	if !s.wide || s.held == nil {
 		return Verdict{Reason: ReasonSearching}
 	}
 	verdict := t.copyNext(now, key, s)
@@ -255,7 +255,7 @@
 	if t.notFound(now, s) {
 		return t.giveUp(key, known, ReasonNotFound)
 	}
-	if !s.all && s.exhausted() {
+	if !s.wide && s.exhausted() {
 		return t.askAll(key, known)
 	}
 	return t.copyHeld(now, key, s)
--- a/internal/packetagent/traffic.go
+++ b/internal/packetagent/traffic.go
@@ -137,47 +137,6 @@
 	}
 }
 
-// deny tells a balancer that the target does not hold a flow. The packet goes
-// back to a balancer that thought so.
-func (a *agent) deny(d delivery, packet []byte) {
-	if !d.search {
-		a.refuse(d.balancer, d.key, packet, door.ReasonUnknownFlow, a.view.Load())
-		return
-	}
-	a.metrics.denied.Inc()
-	a.node.SendKeys(d.balancer, packetnode.KindDenied, []flow.Key{d.key})
-}
-
-// takeAsk tells a balancer which of some flows the target holds.
-func (a *agent) takeAsk(from netip.Addr, datagram []byte) {
-	keys, err := packetnode.ParseKeys(datagram)
-	if err != nil {
-		a.metrics.malformed.Inc()
-		return
-	}
-	var answers [door.HoldingCount][]flow.Key
-	a.mu.Lock()
-	for _, key := range keys {
-		holding := a.door.Holds(key)
-		answers[holding] = append(answers[holding], key)
-	}
-	a.mu.Unlock()
-	for _, key := range answers[door.Held] {
-		a.found(from, key)
-	}
-	a.metrics.denied.Add(int64(len(answers[door.Absent])))
-	a.metrics.unsure.Add(int64(len(answers[door.Unsure])))
-	a.node.SendKeys(from, packetnode.KindDenied, answers[door.Absent])
-	a.node.SendKeys(from, packetnode.KindUnsure, answers[door.Unsure])
-}
-
-// found tells a balancer that the target holds a flow that it searches for.
-func (a *agent) found(from netip.Addr, key flow.Key) {
-	a.metrics.found.Inc()
-	a.metrics.searchLog.Info("flow_found", logrus.Fields{"flow": key, "balancer": from})
-	a.node.SendKeys(from, packetnode.KindClaims, []flow.Key{key})
-}
-
 // deliver hands a packet to the target. The caller holds the lock.
 func (a *agent) deliver(d delivery, packet []byte) {
 	a.codec.Prepare(packet, a.pending.add(d))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -2,23 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
 
-	"github.com/balsamlink/balsamlink/internal/kernel"
 	"github.com/balsamlink/balsamlink/internal/standin/site"
-	"github.com/balsamlink/balsamlink/platform/wire"
 )
 
 // Error is the class of all errors of this layer.
@@ -44,6 +37,9 @@
 	storePort = 18177
 )
 
+// zones are the zones of the site.
+var zones = []string{"a", "b"}
+
 // Config is one run.
 type Config struct {
 	Seed     uint64
@@ -97,7 +93,7 @@
 		hash = site.HashMod
 	}
 	running, err := site.Start(site.Shape{
-		Zones: []string{"a", "b"}, Balancers: config.Balancers, Hash: hash, Octet: config.Octet, Gateway: r.gateway,
+		Zones: zones, Balancers: config.Balancers, Hash: hash, Octet: config.Octet, Gateway: r.gateway,
 		Services: []site.ServiceShape{{Name: feed, Targets: config.Targets}, {Name: files, Targets: 2}},
 	}, config.Programs, config.Folder)
 	defer r.closeLinks()
@@ -153,7 +149,7 @@
 	defer stop()
 	var clients sync.WaitGroup
 	for n := range r.config.Clients {
-		client, err := r.site.NewClient([]string{"a", "b"}[n%2], n/2)
+		client, err := r.site.NewClient(zones[n%len(zones)], n/len(zones))
 		if err != nil {
 			return Error.Wrap(err)
 		}
@@ -267,172 +263,12 @@
 	for _, link := range r.links {
 		link.set(linkOpen)
 	}
-	for _, zone := range []string{"a", "b"} {
+	for _, zone := range zones {
 		r.site.Evacuate(zone, false)
 	}
 	r.site.Configure(r.site.Routes()...)
 }
 
-// cause lets a fault happen, and ends it.
-func (r *run) cause(fault Fault) {
-	node := r.nodes[fault.On%len(r.nodes)]
-	agents := append(r.site.Nodes(feed), r.site.Nodes(files)...)
-	agent := agents[fault.On%len(agents)]
-	zone := []string{"a", "b"}[fault.On%2]
-	switch fault.Kind {
-	case KindKill:
-		r.with(node, func() { r.restart(node, syscall.SIGKILL, fault.For) })
-	case KindKillAll:
-		r.killAll(fault.For)
-	case KindTerm:
-		r.with(node, func() { r.restart(node, syscall.SIGTERM, fault.For) })
-	case KindFreeze:
-		r.with(node, func() { r.freeze(node, fault.For) })
-	case KindCrash:
-		r.with(agent, func() { r.replace(agent, 0, fault.For, r.site.Target(agent).Crash) })
-	case KindClock:
-		ahead := time.Duration(fault.How%3-1) * time.Hour
-		r.with(agent, func() { r.replace(agent, ahead, fault.For, r.site.Target(agent).Crash) })
-	case KindDrain:
-		r.with(agent, func() { r.drain(agent, fault.For) })
-	case KindEvacuate:
-		r.site.Evacuate(zone, true)
-		time.Sleep(fault.For)
-		r.site.Evacuate(zone, false)
-	case KindConfigure:
-		r.configure(wire.Backend{Service: files, Weight: 1}, wire.Backend{Service: feed, Weight: float64(fault.How % 2)})
-		time.Sleep(fault.For)
-		r.configure(wire.Backend{Service: feed, Weight: 1})
-	case KindStore:
-		r.failStore(fault)
-	case KindLapse:
-		r.site.Store.Lapse()
-	case KindDeaf:
-		r.site.Store.SetDeaf(true)
-		r.site.Store.Compact()
-		time.Sleep(fault.For)
-		r.site.Store.SetDeaf(false)
-	case KindLink:
-		link := r.linkOf(node)
-		link.set(linkMode(1 + fault.How%int(linkModes-1)))
-		time.Sleep(2 * fault.For)
-		link.set(linkOpen)
-	case KindLoss:
-		r.site.Router.SetLoss(func(at string) bool { return at == zone && rand.Float64() < lossShare })
-		time.Sleep(fault.For)
-		r.site.Router.SetLoss(nil)
-	case KindAdd:
-		if _, err := r.site.AddBalancer(zone); err != nil {
-			r.breach("a new balancer does not start: %v", err)
-		}
-	}
-}
-
-// with lets a fault happen on a node on its own, and lets the node rest.
-func (r *run) with(node *site.Node, cause func()) {
-	r.busy[node].Lock()
-	defer r.busy[node].Unlock()
-	cause()
-	time.Sleep(restTime)
-}
-
-// restart ends a process and starts it again.
-func (r *run) restart(node *site.Node, signal syscall.Signal, pause time.Duration) {
-	told := time.Now()
-	err := r.site.End(node, signal)
-	if signal == syscall.SIGTERM && !graceful(err, time.Since(told)) {
-		r.breach("%s does not end gracefully: %v after %s", node.Name, err, time.Since(told))
-	}
-	if node.Service() != "" {
-		pause = pause / 2
-	}
-	time.Sleep(pause)
-	r.start(node)
-}
-
-// graceful reports whether a process that was told to end did so in time. A
-// balancer may cut its drain short: while few balancers of a zone are ready, the
-// fabric sends to those that drain as well.
-func graceful(err error, took time.Duration) bool {
-	var exit *exec.ExitError
-	cut := errors.As(err, &exit) && exit.ExitCode() == kernel.ExitDrainCutShort
-	return (err == nil || cut) && took <= site.Grace
-}
-
-func (r *run) start(node *site.Node) {
-	if err := r.site.StartNode(node); err != nil {
-		r.breach("%s does not start: %v", node.Name, err)
-	}
-}
-
-// killAll ends all processes at once.
-func (r *run) killAll(pause time.Duration) {
-	for _, node := range r.nodes {
-		r.busy[node].Lock()
-		defer r.busy[node].Unlock()
-	}
-	for _, node := range r.nodes {
-		if err := r.site.Signal(node, syscall.SIGKILL); err != nil {
-			r.breach("%s had ended: %v", node.Name, err)
-		}
-	}
-	time.Sleep(pause)
-	for _, node := range r.nodes {
-		// A killed process always returns an error.
-		_ = r.site.Wait(node)
-		r.start(node)
-	}
-	time.Sleep(restTime)
-}
-
-func (r *run) freeze(node *site.Node, pause time.Duration) {
-	if err := r.site.Signal(node, syscall.SIGSTOP); err != nil {
-		r.breach("%s had ended: %v", node.Name, err)
-	}
-	time.Sleep(pause)
-	if err := r.site.Signal(node, syscall.SIGCONT); err != nil {
-		r.breach("%s had ended: %v", node.Name, err)
-	}
-}
-
-// replace ends an agent's target and starts a new one.
-func (r *run) replace(agent *site.Node, ahead, pause time.Duration, end func()) {
-	end()
-	time.Sleep(pause)
-	if err := r.site.StartTargetAhead(agent, ahead); err != nil {
-		r.breach("target of %s does not start: %v", agent.Name, err)
-	}
-}
-
-// drain has a target say that it leaves. Once that is acknowledged, no new flow
-// reaches it.
-func (r *run) drain(agent *site.Node, pause time.Duration) {
-	target := r.site.Target(agent)
-	target.Drain()
-	time.Sleep(inFlight)
-	offered := target.Seen().Offered
-	time.Sleep(pause)
-	if more := target.Seen().Offered; more > offered {
-		r.breach("%d flows were offered to the target of %s after it was drained", more-offered, agent.Name)
-	}
-	r.replace(agent, 0, 0, target.Leave)
-}
-
-func (r *run) configure(backends ...wire.Backend) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.site.Configure(r.site.Route(0, backends...), r.site.Route(1, wire.Backend{Service: files, Weight: 1}))
-}
-
-// failStore has the store fail in one way, for all callers.
-func (r *run) failStore(fault Fault) {
-	ways := []site.Fault{site.FaultBusy, site.FaultMany, site.FaultReset, site.FaultSilent, site.FaultLost}
-	way := ways[fault.How%len(ways)]
-	r.site.Store.SetFault(func(net.IP, bool) site.Fault { return way })
-	time.Sleep(2 * fault.For)
-	r.site.Store.SetFault(nil)
-}
-
 // folderOf returns the folder of a seed's settings and logs.
 func folderOf(folder string, seed uint64) string {
 	return filepath.Join(folder, fmt.Sprint("seed-", seed))
