--- a/internal/agent/quicserver.go
+++ b/internal/agent/quicserver.go
@@ -37,10 +37,16 @@
 	closeDelay = 100 * time.Millisecond
 )
 
-// ZoneOutCode is the HTTP/3 error code with which flows are closed when their
-// zone is taken out of service. It is H3_REQUEST_REJECTED, so that the caller
-// may send the request again.
-const ZoneOutCode = quic.ApplicationErrorCode(http3.ErrCodeRequestRejected)
+// The HTTP/3 error codes with which flows are closed when their zone is taken out of
+// service.
+const (
+	// ZoneOutCode, H3_REQUEST_REJECTED, closes flows on which no request has run. It
+	// tells callers that they may send their requests again.
+	ZoneOutCode = quic.ApplicationErrorCode(http3.ErrCodeRequestRejected)
+	// ZoneOutAfterRequestCode, H3_NO_ERROR, closes all other flows. It promises nothing
+	// about requests whose responses have not arrived: they may have run.
+	ZoneOutAfterRequestCode = quic.ApplicationErrorCode(http3.ErrCodeNoError)
+)
 
 // RequestHandler serves the requests of callers.
 type RequestHandler interface {
@@ -193,8 +199,36 @@
 // connState is the agent's state of one QUIC connection.
 type connState struct {
 	conn *quic.Conn
-	// sentRequest is set when the first request of the connection has arrived.
-	sentRequest atomic.Bool
+	mu   sync.Mutex
+	// ranRequest is set when the first request of the connection has begun to run, and
+	// closed when the connection has been closed because its zone is out of service.
+	ranRequest, closed bool
+}
+
+// beginRequest reports whether a request may run, and whether it is the connection's
+// first.
+func (s *connState) beginRequest() (first, allowed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false, false
+	}
+	first = !s.ranRequest
+	s.ranRequest = true
+	return first, true
+}
+
+// closeForZoneOut closes the connection. A request that has not begun does not run
+// afterwards, so that ZoneOutCode is true.
+func (s *connState) closeForZoneOut() {
+	s.mu.Lock()
+	s.closed = true
+	code := ZoneOutCode
+	if s.ranRequest {
+		code = ZoneOutAfterRequestCode
+	}
+	s.mu.Unlock()
+	s.conn.CloseWithError(code, "availability zone is out of service")
 }
 
 func (s *QUICServer) connContext(ctx context.Context, conn *quic.Conn) context.Context {
@@ -208,18 +242,24 @@
 	return context.WithValue(ctx, connStateKey{}, state)
 }
 
-// closeFlows closes all open flows with ZoneOutCode.
+// closeFlows closes all open flows because their zone is out of service.
 func (s *QUICServer) closeFlows() {
-	s.flows.Range(func(conn, _ any) bool {
-		conn.(*quic.Conn).CloseWithError(ZoneOutCode, "availability zone is out of service")
+	s.flows.Range(func(_, state any) bool {
+		state.(*connState).closeForZoneOut()
 		return true
 	})
 }
 
 func (s *QUICServer) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	state, known := r.Context().Value(connStateKey{}).(*connState)
-	if known && !state.sentRequest.Swap(true) {
-		s.packetConn.requestStarted()
+	if known {
+		first, allowed := state.beginRequest()
+		if !allowed {
+			panic(http.ErrAbortHandler)
+		}
+		if first {
+			s.packetConn.requestStarted()
+		}
 	}
 	s.config.Handler.ServeHTTP(w, r)
 }
--- a/internal/pathtest/path_test.go
+++ b/internal/pathtest/path_test.go
@@ -76,8 +76,9 @@
 	table       *steering.Table
 }
 
-// startPath starts a path that stops at the end of the test.
-func startPath(t *testing.T, balancers, agents int) *path {
+// startPath starts a path that stops at the end of the test. The handler serves the
+// requests at each agent.
+func startPath(t *testing.T, balancers, agents int, handler agent.RequestHandler) *path {
 	config, err := mtls.NewConfig()
 	require.NoError(t, err)
 	p := &path{authorities: config.RootCAs}
@@ -85,7 +86,7 @@
 	require.NoError(t, err)
 	t.Cleanup(p.fabric.Stop)
 	for range agents {
-		p.agents = append(p.agents, startAgent(t, config.Certificates))
+		p.agents = append(p.agents, startAgent(t, config.Certificates, handler))
 	}
 	p.table = newTable(t, p.agents)
 	var addresses []netip.AddrPort
@@ -98,9 +99,9 @@
 	return p
 }
 
-func startAgent(t *testing.T, certificates []tls.Certificate) *agent.QUICServer {
+func startAgent(t *testing.T, certificates []tls.Certificate, handler agent.RequestHandler) *agent.QUICServer {
 	server, err := agent.NewQUICServer(agent.QUICServerConfig{
-		DataAddress: anyLoopbackPort, Zone: "a", Service: service, Shared: sharedKeys, Handler: stubHandler{},
+		DataAddress: anyLoopbackPort, Zone: "a", Service: service, Shared: sharedKeys, Handler: handler,
 		TLS: &tls.Config{Certificates: certificates},
 	})
 	require.NoError(t, err)
@@ -159,7 +160,7 @@
 // of the flows. Every request must receive its complete response, and every balancer
 // must get datagrams.
 func TestRequestsAreServedAcrossSprayingFabric(t *testing.T) {
-	p := startPath(t, 4, 3)
+	p := startPath(t, 4, 3, stubHandler{})
 	recorder, err := load.Run(context.Background(), p.loadConfig(), nil)
 	require.NoError(t, err)
 	requests := recorder.Requests()
