--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -142,15 +142,17 @@
 }
 
 // Wait queries all nodes until each of them has the required revisions in force,
-// or the context ends. The error is ErrNotInForce when the last query found nodes
-// behind, or the error of the last query when that failed.
+// or the context ends. The error is ErrNotInForce when nodes were behind by then, also if
+// the end of the context cut off one more query. It is the error of the last query if
+// queries failed before that.
 func (f *Fleet) Wait(ctx context.Context, required model.Revisions) (InForce, error) {
 	started := time.Now()
 	progress := InForce{Behind: []model.NodeID{}}
+	answered := false
 	for {
 		nodes, err := f.Status(ctx)
 		if err == nil {
-			progress = countInForce(nodes, required)
+			progress, answered = countInForce(nodes, required), true
 		}
 		progress.Millis = time.Since(started).Milliseconds()
 		if err == nil && len(progress.Behind) == 0 {
@@ -158,10 +160,11 @@
 		}
 		select {
 		case <-time.After(waitInterval):
+			answered = err == nil
 			continue
 		case <-ctx.Done():
 		}
-		if err != nil {
+		if !answered {
 			return progress, err
 		}
 		return progress, Error.New("%w: %d of %d nodes are behind", ErrNotInForce, len(progress.Behind), progress.Nodes)
