--- a/internal/packetlb/balancer.go
+++ b/internal/packetlb/balancer.go
@@ -310,7 +310,7 @@
 
 // updateReady makes the balancer ready once it has the operators' state and
 // either a heartbeat of each known agent has arrived or flowReportWait has passed. It
-// also waits that long if it knows no node at all.
+// also waits that long if it knows no agent.
 func (b *balancer) updateReady(now model.Instant, update packetnode.Update) {
 	if state, _ := update.StateCache.State(); state == nil || state.Config == nil || b.draining.Load() || b.ready.Load() {
 		return
@@ -318,13 +318,8 @@
 	if b.stateKnownAt == 0 {
 		b.stateKnownAt = now
 	}
-	missing := 0
-	for _, node := range update.NodeTable.Nodes() {
-		if node.Peer.Role == model.RoleAgent && !node.Seen() {
-			missing++
-		}
-	}
-	if now.Sub(b.stateKnownAt) < flowReportWait && (missing > 0 || len(update.NodeTable.Nodes()) == 0) {
+	agents, missing := agentCounts(update.NodeTable)
+	if now.Sub(b.stateKnownAt) < flowReportWait && (missing > 0 || agents == 0) {
 		return
 	}
 	b.ready.Store(true)
@@ -334,6 +329,21 @@
 	}).Info("balancer_ready")
 }
 
+// agentCounts returns the number of known agents, and of those of which no heartbeat has
+// arrived.
+func agentCounts(table *packetnode.NodeTable) (agents, missing int) {
+	for _, node := range table.Nodes() {
+		if node.Peer.Role != model.RoleAgent {
+			continue
+		}
+		agents++
+		if !node.Seen() {
+			missing++
+		}
+	}
+	return agents, missing
+}
+
 // expire removes idle flows, and resets those whose agent is lost.
 func (b *balancer) expire(now model.Instant) {
 	b.mu.Lock()
