--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
@@ -125,6 +126,19 @@
 	Length int
 }
 
+// openingCopyDelays are the times, after the first copy of an opening packet, at which a
+// client sends the copies. Their number is in the Acknowledged field.
+var openingCopyDelays = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+// OpeningAge returns how long before this copy of an opening packet the client sent the
+// first one.
+func (p Packet) OpeningAge() time.Duration {
+	return openingCopyDelays[min(int(p.Acknowledged), len(openingCopyDelays)-1)]
+}
+
+// LastOpeningCopy reports whether the client sends no further copy of an opening packet.
+func (p Packet) LastOpeningCopy() bool { return int(p.Acknowledged) >= len(openingCopyDelays)-1 }
+
 // Opening reports whether the packet requests a new flow.
 func (p Packet) Opening() bool { return p.Flags&(Open|Ack|Reset) == Open }
 
--- a/internal/flowsteer/table.go
+++ b/internal/flowsteer/table.go
@@ -110,9 +110,6 @@
 	// maxAgentsTried is how many agents a new flow is tried at. Each costs a round
 	// trip between VMs.
 	maxAgentsTried = 4
-	// lastOpeningCopy is the number in the Acknowledged field of the last copy that a
-	// client sends of an opening packet.
-	lastOpeningCopy = 2
 	// defaultIdleTimeout is how long a flow may be idle while the operators' limit is
 	// not known.
 	defaultIdleTimeout = 15 * time.Second
@@ -293,7 +290,7 @@
 // awaited; the last one is answered with a reset, so that the client opens a new flow.
 func (t *Table) handleUnplaced(now model.Instant, p flow.Packet, route *routing.Route) Verdict {
 	if t.hasOpenTarget(now, route) {
-		if p.Acknowledged < lastOpeningCopy {
+		if !p.LastOpeningCopy() {
 			return Verdict{Reason: ReasonNoCapacity}
 		}
 		return Verdict{Action: ActionReset, Reason: ReasonNoCapacity}
@@ -344,7 +341,7 @@
 	// Unless a reset is due, the packet is dropped, and its retransmission is placed anew.
 	switch reason {
 	case targetgate.ReasonCold, targetgate.ReasonBusy:
-		if p.Acknowledged < lastOpeningCopy {
+		if !p.LastOpeningCopy() {
 			return Verdict{Reason: ReasonNoCapacity}
 		}
 	case targetgate.ReasonNoState, targetgate.ReasonNoRoute, targetgate.ReasonOtherService, targetgate.ReasonNoTarget:
--- a/internal/packetagent/traffic.go
+++ b/internal/packetagent/traffic.go
@@ -83,7 +83,9 @@
 	key := p.KeyFromClient()
 	now := model.Now()
 	a.mu.Lock()
-	reason := a.gate.Open(now, view.state, targetgate.Opening{Key: key, Balancer: from, Packet: bytes.Clone(forwarded.Packet)})
+	reason := a.gate.Open(now, view.state, targetgate.Opening{
+		Key: key, Balancer: from, Age: p.OpeningAge(), Packet: bytes.Clone(forwarded.Packet),
+	})
 	a.admit(now, view)
 	a.mu.Unlock()
 	if reason != targetgate.ReasonNone {
--- a/internal/targetgate/flows.go
+++ b/internal/targetgate/flows.go
@@ -181,9 +181,12 @@
 		known.endedByTarget = true
 	}
 	if known.inFlight && (p.Length > 0 || known.endedByTarget) {
+		result.ResponseStarted, result.Latency = p.Length > 0, now.Sub(known.requestedAt)
+		if result.ResponseStarted {
+			g.pace.observe(result.Latency, g.inFlight, g.slots())
+		}
 		known.inFlight = false
 		g.inFlight--
-		result.ResponseStarted, result.Latency = p.Length > 0, now.Sub(known.requestedAt)
 	}
 	known.open = known.open || !p.Flags.Has(flow.Open)
 	result.Notify = known.open && !known.notified
--- a/internal/targetgate/gate.go
+++ b/internal/targetgate/gate.go
@@ -167,6 +167,7 @@
 	// oldest first.
 	recentlyAdmitted []admittedFlow
 	queued           map[flow.Key]*queuedFlow
+	pace             pace
 	// flowsComplete is set when every flow that the target holds is in the table.
 	flowsComplete bool
 }
@@ -309,6 +310,8 @@
 	Key flow.Key
 	// Balancer is the balancer that forwarded the opening packet.
 	Balancer netip.Addr
+	// Age is how long before this copy of the opening packet the client sent the first.
+	Age time.Duration
 	// Packet is the opening packet, which the gate keeps while the flow is queued.
 	Packet []byte
 }
--- a/internal/targetgate/queue.go
+++ b/internal/targetgate/queue.go
@@ -8,25 +8,25 @@
 )
 
 const (
-	// maxQueueTime is how long a flow may be queued. The client gives up 1.4 s after the
-	// first copy of its opening packet, and the target's SYN-ACK needs part of that.
+	// maxQueueTime is how long after the first copy of its opening packet a flow may be
+	// queued. The client gives up after 1.4 s, and the target's SYN-ACK needs part of that.
 	maxQueueTime = 1300 * time.Millisecond
 	// inFlightFactor times the slots is the number of flows with a request outstanding
 	// or awaited at which the target gets no further flows: a request then waits for
 	// about one other.
 	inFlightFactor = 2
-	// queueFactor times the slots is how many flows may be queued for a warm target.
-	// With requests of 60 ms, about 20 per slot are admitted before their clients give
-	// up; half of that is reserved for requests on open flows.
-	queueFactor = 10
+	// queueShare is the share of what the target can serve in time that may be queued.
+	// The rest is reserved for requests on open flows.
+	queueShare = 1.0
 	// defaultSlots is assumed for a target that has not reported its number of slots.
 	defaultSlots = 4
 )
 
 // queuedFlow is a flow that is queued for the target.
 type queuedFlow struct {
-	opening  Opening
-	queuedAt model.Instant
+	opening Opening
+	// sentAt is when the client sent the first copy of the opening packet.
+	sentAt model.Instant
 	// priority is the priority of the flow's route, 0 being the highest.
 	priority int
 	// admitted is set when the flow was admitted before, so that this is a
@@ -34,16 +34,15 @@
 	admitted bool
 }
 
-// enqueue queues a flow. Of several copies of its opening packet the last one is kept,
-// with the arrival time of the first.
+// enqueue queues a flow. Of several copies of its opening packet the last one is kept.
 func (g *Gate) enqueue(now model.Instant, state *routing.State, opening Opening) {
-	queuedAt := now
+	sentAt := now.Add(-opening.Age)
 	if earlier := g.queued[opening.Key]; earlier != nil {
-		queuedAt = earlier.queuedAt
+		sentAt = min(sentAt, earlier.sentAt)
 	}
 	route := state.Config.Routes[opening.Key.Service]
 	g.queued[opening.Key] = &queuedFlow{
-		opening: opening, queuedAt: queuedAt, priority: route.Priority, admitted: g.flows[opening.Key] != nil,
+		opening: opening, sentAt: sentAt, priority: route.Priority, admitted: g.flows[opening.Key] != nil,
 	}
 }
 
@@ -65,7 +64,7 @@
 	var admitted []Opening
 	for key, queued := range g.queued {
 		refused := g.refusal(now) != ReasonNone || g.checkPolicy(state, key) != ReasonNone
-		if now.Sub(queued.queuedAt) > maxQueueTime || refused {
+		if now.Sub(queued.sentAt) > maxQueueTime || refused {
 			delete(g.queued, key)
 		} else if queued.admitted {
 			delete(g.queued, key)
@@ -88,7 +87,7 @@
 func (g *Gate) nextQueued() *queuedFlow {
 	var best *queuedFlow
 	for _, queued := range g.queued {
-		if best == nil || queued.priority < best.priority || (queued.priority == best.priority && queued.queuedAt > best.queuedAt) {
+		if best == nil || queued.priority < best.priority || (queued.priority == best.priority && queued.sentAt > best.sentAt) {
 			best = queued
 		}
 	}
@@ -139,13 +138,16 @@
 }
 
 // queueLimit returns how many flows may be queued so that each is likely admitted
-// before its client gives up. A target that stays cold for all of maxQueueTime admits
-// about coldLimit flows in it.
+// before its client gives up. A flow that arrives now can wait for maxQueueTime. While
+// the target is cold it admits coldLimit flows in about that time, and from then on as
+// many as it serves.
 func (g *Gate) queueLimit(now model.Instant, service *routing.Service) int {
-	if g.target.ColdUntil.Sub(now) > maxQueueTime {
-		return g.coldLimit(service)
+	cold := max(0, g.target.ColdUntil.Sub(now))
+	limit := int(queueShare * g.pace.servedWithin(maxQueueTime-cold, g.slots()))
+	if cold > 0 {
+		limit += g.coldLimit(service)
 	}
-	return queueFactor * g.slots()
+	return limit
 }
 
 // Capacity returns how many more flows the gate would accept now, and how many of
