--- a/internal/flowsteer/simulation_test.go
+++ b/internal/flowsteer/simulation_test.go
@@ -401,7 +401,7 @@
 	switch a.gate.ClientPacket(s.now, m.packet, vm(m.balancer+100), m.search) {
 	case targetgate.Deliver, targetgate.DeliverUnconfirmed:
 		if !a.target.holds[key] {
-			a.gate.PacketReturned(key)
+			a.gate.PacketReturned(s.now, key)
 			s.replyNotHeld(m)
 			return
 		}
--- a/internal/packetagent/traffic.go
+++ b/internal/packetagent/traffic.go
@@ -213,7 +213,7 @@
 	a.mu.Lock()
 	delivered, known := a.pending.take(p.Tag, key)
 	if known {
-		a.gate.PacketReturned(key)
+		a.gate.PacketReturned(model.Now(), key)
 	}
 	a.mu.Unlock()
 	if !known {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -85,7 +85,7 @@
 	// WarmUp is how long a new target is cold; WarmUpRate is the number of new flows
 	// per second that a cold target can take.
 	WarmUp     time.Duration
-	WarmUpRate float64
+	WarmUpRate Rate
 	// MaxFlows is the maximum number of flows of one target; 0 means no limit.
 	MaxFlows int
 }
--- a/internal/targetgate/flows.go
+++ b/internal/targetgate/flows.go
@@ -183,7 +183,8 @@
 	if known.inFlight && (p.Length > 0 || known.endedByTarget) {
 		result.ResponseStarted, result.Latency = p.Length > 0, now.Sub(known.requestedAt)
 		if result.ResponseStarted {
-			g.pace.observe(result.Latency, g.inFlight, g.slots())
+			work := g.pace.observe(result.Latency, g.inFlight, g.slots())
+			g.ramp.responded(now, work > overloadFactor*g.pace.estimate(), inFlightFactor*g.slots())
 		}
 		known.inFlight = false
 		g.inFlight--
@@ -194,9 +195,13 @@
 	return result
 }
 
-// PacketReturned removes a flow of which the target returned a packet.
-func (g *Gate) PacketReturned(key flow.Key) {
+// PacketReturned removes a flow of which the target returned a packet. A target that
+// returns an opening packet has no capacity left.
+func (g *Gate) PacketReturned(now model.Instant, key flow.Key) {
 	if known := g.flows[key]; known != nil {
+		if !known.open {
+			g.ramp.overloaded(now)
+		}
 		g.remove(key, known)
 	}
 }
--- a/internal/targetgate/gate.go
+++ b/internal/targetgate/gate.go
@@ -168,6 +168,7 @@
 	recentlyAdmitted []admittedFlow
 	queued           map[flow.Key]*queuedFlow
 	pace             pace
+	ramp             ramp
 	// flowsComplete is set when every flow that the target holds is in the table.
 	flowsComplete bool
 }
@@ -226,6 +227,9 @@
 	if restarted {
 		g.flowsComplete = true
 	}
+	if a.Incarnation != g.target.Incarnation {
+		g.ramp = ramp{}
+	}
 	if g.target.Incarnation == 0 {
 		g.assignFlows(a.Incarnation)
 		g.flowsComplete = g.flowsComplete || g.noEarlierAgent(a)
@@ -365,13 +369,16 @@
 }
 
 // coldLimit returns the maximum number of new flows that a cold target gets within the
-// cold window.
-func (g *Gate) coldLimit(service *routing.Service) int {
+// cold window, and false if the service's warm-up rate is not stated. The target is then
+// limited by what it is seen to bear.
+func (g *Gate) coldLimit(service *routing.Service) (limit int, stated bool) {
 	rate := 0.0
 	if service != nil {
-		rate = service.WarmUpRate
+		if rate, stated = service.WarmUpRate.PerSecond(); !stated {
+			return 0, false
+		}
 	}
-	return max(1, int(rate*g.config.ColdFactor+g.config.ColdSlack))
+	return max(1, int(rate*g.config.ColdFactor+g.config.ColdSlack)), true
 }
 
 // trimRecentOpens removes the times before the current cold window.
--- a/internal/targetgate/gate_test.go
+++ b/internal/targetgate/gate_test.go
@@ -59,7 +59,7 @@
 				bookingAddress: {Priority: 1, Services: []routing.WeightedService{{Service: feed, Weight: 1}}},
 				filesAddress:   {Priority: 2, Services: []routing.WeightedService{{Service: files, Weight: 1}}},
 			},
-			Services: map[model.Service]*routing.Service{feed: {}},
+			Services: map[model.Service]*routing.Service{feed: {WarmUpRate: routing.StatedRate(0)}},
 		}},
 	}
 }
@@ -174,7 +174,7 @@
 	for _, rate := range []float64{0, 2, 10} {
 		for _, restarted := range []bool{false, true} {
 			h := newHarness(t)
-			h.state.Config.Services[feed].WarmUpRate = rate
+			h.state.Config.Services[feed].WarmUpRate = routing.StatedRate(rate)
 			if restarted {
 				h.gate.RecordProbe(h.now, "i-1", true)
 			} else {
@@ -419,7 +419,7 @@
 	require.True(t, h.answer(key(1, feedAddress), flow.Ack, 10), "the balancers are to be notified")
 	require.False(t, h.answer(key(1, feedAddress), flow.Ack, 10), "only one notification per flow")
 	require.Equal(t, targetgate.Deliver, h.gate.ClientPacket(h.now, p, balancer, true))
-	h.gate.PacketReturned(key(1, feedAddress))
+	h.gate.PacketReturned(h.now, key(1, feedAddress))
 	require.Equal(t, targetgate.ReturnPacket, h.gate.ClientPacket(h.now, p, balancer, true))
 }
 
--- a/internal/targetgate/pace.go
+++ b/internal/targetgate/pace.go
@@ -20,11 +20,13 @@
 }
 
 // observe records the time to the first packet of a response while the given number of
-// requests, this one included, shared the target's slots.
-func (p *pace) observe(latency time.Duration, inFlight, slots int) {
+// requests, this one included, shared the target's slots. It returns the part of that time
+// for which the request occupied a slot.
+func (p *pace) observe(latency time.Duration, inFlight, slots int) time.Duration {
 	share := min(1, float64(slots)/float64(max(1, inFlight)))
 	sample := max(minWork, time.Duration(float64(latency)*share))
 	p.work = p.estimate() + time.Duration(workSampleWeight*float64(sample-p.estimate()))
+	return sample
 }
 
 // estimate returns the estimated work, which is assumedWork before any response.
--- a/internal/targetgate/played_test.go
+++ b/internal/targetgate/played_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/balsamlink/balsamlink/internal/flow"
 	"github.com/balsamlink/balsamlink/internal/model"
+	"github.com/balsamlink/balsamlink/internal/routing"
 	"github.com/balsamlink/balsamlink/internal/targetgate"
 )
 
@@ -30,6 +31,8 @@
 	// slower it is meanwhile.
 	coldFor    time.Duration
 	coldFactor float64
+	// rate is the warm-up rate that the operators have stated.
+	rate routing.Rate
 	// collapsesAt, unless 0, is the number of requests at a cold target from which on it
 	// answers nothing for a second.
 	collapsesAt int
@@ -95,6 +98,7 @@
 	p := &play{load: l, harness: newHarness(t), random: rand.New(rand.NewPCG(l.seed, 1)), active: map[flow.Key]*attempt{}}
 	route := p.state.Config.Routes[feedAddress]
 	route.ExpectedLatency = l.aim
+	p.state.Config.Services[feed].WarmUpRate = l.rate
 	coldUntil := p.now.Add(l.coldFor)
 	var beat func()
 	beat = func() {
@@ -262,7 +266,7 @@
 func afterPowerLoss(seed uint64) load {
 	return load{
 		seed: seed, perSecond: 60, duration: 3 * time.Second, work: 25 * time.Millisecond, slots: 4,
-		coldFor: 2 * time.Second, coldFactor: 1.6, aim: 120 * time.Millisecond, deadline: 2 * time.Second,
+		coldFor: 2 * time.Second, coldFactor: 1.6, rate: routing.StatedRate(0), aim: 120 * time.Millisecond, deadline: 2 * time.Second,
 	}
 }
 
@@ -290,3 +294,25 @@
 		})
 	}
 }
+
+// The operators have not stated what a cold target bears. Callers are served at once if
+// it bears all of its slots, and hardly worse than with the slack alone if it collapses
+// when half of them are in use.
+func TestColdTargetWithoutAStatedRateGetsWhatItBears(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			slack, observed := afterPowerLoss(seed), afterPowerLoss(seed)
+			observed.rate = routing.Rate{}
+			limited, served := playLoad(t, slack), playLoad(t, observed)
+			t.Logf("bears its slots: slack %+v, observed %+v", limited, served)
+			require.Less(t, served.failed, limited.failed)
+			require.Greater(t, served.inTime, limited.inTime)
+
+			slack.collapsesAt, observed.collapsesAt = 3, 3
+			limited, served = playLoad(t, slack), playLoad(t, observed)
+			t.Logf("collapses at 3: slack %+v, observed %+v", limited, served)
+			require.LessOrEqual(t, served.collapses, 2)
+			require.GreaterOrEqual(t, served.served(), limited.served()*9/10)
+		})
+	}
+}
--- a/internal/targetgate/queue.go
+++ b/internal/targetgate/queue.go
@@ -122,10 +122,15 @@
 // immediateCapacity returns how many flows may be admitted now.
 func (g *Gate) immediateCapacity(now model.Instant, service *routing.Service) int {
 	g.expireAwaiting(now)
-	capacity := inFlightFactor*g.slots() - g.inFlight - g.awaitingRequest
+	used := g.inFlight + g.awaitingRequest
+	capacity := inFlightFactor*g.slots() - used
 	if g.Cold(now) {
 		g.trimRecentOpens(now)
-		capacity = min(capacity, g.coldLimit(service)-len(g.recentOpens))
+		if limit, stated := g.coldLimit(service); stated {
+			capacity = min(capacity, limit-len(g.recentOpens))
+		} else {
+			capacity = min(capacity, g.ramp.limit(now, g.inFlight, g.pace.estimate())-used)
+		}
 	}
 	return max(0, capacity)
 }
@@ -139,15 +144,16 @@
 
 // queueLimit returns how many flows may be queued so that each is likely admitted
 // before its client gives up. A flow that arrives now can wait for maxQueueTime. While
-// the target is cold it admits coldLimit flows in about that time, and from then on as
-// many as it serves.
+// the target is cold and its warm-up rate is stated, it admits coldLimit flows in about
+// that time, and from then on as many as it serves.
 func (g *Gate) queueLimit(now model.Instant, service *routing.Service) int {
-	cold := max(0, g.target.ColdUntil.Sub(now))
-	limit := int(queueShare * g.pace.servedWithin(maxQueueTime-cold, g.slots()))
-	if cold > 0 {
-		limit += g.coldLimit(service)
+	limit, held := 0, time.Duration(0)
+	if cold := g.target.ColdUntil.Sub(now); cold > 0 {
+		if coldLimit, stated := g.coldLimit(service); stated {
+			limit, held = coldLimit, cold
+		}
 	}
-	return limit
+	return limit + int(queueShare*g.pace.servedWithin(maxQueueTime-held, g.slots()))
 }
 
 // Capacity returns how many more flows the gate would accept now, and how many of
