--- a/internal/packetnode/node.go
+++ b/internal/packetnode/node.go
@@ -15,7 +15,6 @@
 	"github.com/balsamlink/balsamlink/internal/flow"
 	"github.com/balsamlink/balsamlink/internal/model"
 	"github.com/balsamlink/balsamlink/internal/observe"
-	"github.com/balsamlink/balsamlink/internal/routing"
 	"github.com/balsamlink/balsamlink/internal/rpc"
 	"github.com/balsamlink/balsamlink/internal/underlay"
 )
@@ -102,12 +101,12 @@
 	// The following fields are shared with other goroutines. newestSeen is the
 	// newest store version of a state that other nodes have and this one does
 	// not; 0 means none. ownVersion is nil while no state is known.
-	state          atomic.Uint32
-	newestSeen     atomic.Uint64
-	ownVersion     atomic.Pointer[StateVersion]
-	servedDocument atomic.Pointer[routing.Document]
-	stop           context.CancelFunc
-	running        sync.WaitGroup
+	state      atomic.Uint32
+	newestSeen atomic.Uint64
+	ownVersion atomic.Pointer[StateVersion]
+	served     atomic.Pointer[servedDocument]
+	stop       context.CancelFunc
+	running    sync.WaitGroup
 
 	// The following fields are owned by the control goroutine.
 	table      *NodeTable
@@ -135,7 +134,7 @@
 	heartbeatsSent, heartbeatsAccepted, heartbeatsStale *observe.Counter
 	malformed, overflow, sendFailed                     *observe.Counter
 	verified, read, storeFailed                         *observe.Counter
-	fromPeers, registered                               *observe.Counter
+	fromPeers, peerFailed, registered                   *observe.Counter
 	routesMalformed                                     *observe.Gauge
 	nodes, stateAge                                     *observe.Gauge
 	version                                             *observe.Gauge
@@ -153,6 +152,7 @@
 		read:               metricSet.Counter("state_read", "Reads of the operators' state from the store."),
 		storeFailed:        metricSet.Counter("store_failed", "Store calls that failed."),
 		fromPeers:          metricSet.Counter("state_from_peers", "Operators' states read from other nodes."),
+		peerFailed:         metricSet.Counter("state_peer_failed", "Fetches of the operators' state for which a node that has it did not return it."),
 		registered:         metricSet.Counter("store_registrations", "Registrations of the node in the store."),
 		routesMalformed:    metricSet.Gauge("state_malformed", "Routes and services of the configuration that were left out because they are malformed."),
 		nodes:              metricSet.Gauge("nodes", "Known other nodes."),
--- a/internal/packetnode/store.go
+++ b/internal/packetnode/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
@@ -14,7 +15,6 @@
 	"github.com/balsamlink/balsamlink/internal/model"
 	"github.com/balsamlink/balsamlink/internal/platform"
 	"github.com/balsamlink/balsamlink/internal/routing"
-	"github.com/balsamlink/balsamlink/internal/rpc"
 )
 
 const (
@@ -45,6 +45,10 @@
 	// serve until the call succeeds. Callers have latency targets of 200 ms, so
 	// they notice every 100 ms without service.
 	urgentInterval = 100 * time.Millisecond
+	// fetchSpacing times the number of known nodes is the time over which nodes spread
+	// their requests for a newer state, so that those that have it first are not all
+	// asked at once.
+	fetchSpacing = 2 * time.Millisecond
 	// storeTimeout limits a sequence of store calls, and peerTimeout a call to
 	// a peer or the revocation of the lease at shutdown.
 	storeTimeout = 3 * time.Second
@@ -82,6 +86,8 @@
 	running   bool
 	storeDown bool
 	schedule  retrySchedule
+	// notBefore is when a newer state that other nodes have may be fetched.
+	notBefore model.Instant
 }
 
 // tick starts a verification when the last one is too old, no state is known, or
@@ -104,9 +110,17 @@
 	if r.running || !r.schedule.due(now) {
 		return
 	}
-	r.running = true
-	document, verify := n.stateCache.document, n.stateCache.state != nil && !n.behind()
-	peers := n.newestPeer(now)
+	verify := n.stateCache.state != nil && !n.behind()
+	if n.stateCache.state != nil && n.behind() {
+		if r.notBefore == 0 {
+			r.notBefore = now.Add(time.Duration(rand.Float64() * float64(len(n.table.nodes)) * float64(fetchSpacing)))
+		}
+		if now < r.notBefore {
+			return
+		}
+	}
+	r.running, r.notBefore = true, 0
+	document, peers := n.stateCache.document, n.newestPeers(now)
 	go func() {
 		result := n.fetch(document, verify, peers)
 		n.post(func(now model.Instant) { r.done(n, now, result) })
@@ -133,18 +147,26 @@
 	// from is the peer that the document comes from, or the zero address if it
 	// comes from the store.
 	from netip.Addr
-	// err is the error of the store, and peerErr that of the last peer.
-	err     error
-	peerErr error
+	// storeAsked is set when the store was called; err is its error, and peerErr that
+	// of the last peer.
+	storeAsked bool
+	err        error
+	peerErr    error
 }
 
-// fetch reads the current document from the store. If verify is set, it first
-// verifies that the given one is current, and reads only if it is not. If the
-// store fails, it asks a peer.
+// fetch gets the current document. If verify is set, it first asks the store whether the
+// given one is current. If that is not so, it reads the document from the store.
+// Otherwise peers have a newer one: the store is read only if they do not return it, so
+// that its calls do not grow with the number of nodes. If the store fails, peers are
+// asked as well.
 func (n *Node) fetch(document routing.Document, verify bool, peers []*RemoteNode) fetchResult {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	result := fetchResult{requestedAt: model.Now()}
+	if !verify && n.fetchFromPeer(peers, &result) {
+		return result
+	}
+	result.storeAsked = true
 	if verify {
 		n.metrics.verified.Inc()
 		result.unchanged, result.err = n.stateReader.Verify(ctx, document)
@@ -157,68 +179,21 @@
 		n.metrics.read.Inc()
 		result.document, result.err = n.stateReader.Read(ctx)
 	}
-	if result.err != nil {
+	if result.err != nil && verify {
 		n.fetchFromPeer(peers, &result)
 	}
 	return result
 }
 
-// newestPeer returns a list with a copy of the live peer that has the newest state,
-// or nil if no peer's state is newer than this node's.
-func (n *Node) newestPeer(now model.Instant) []*RemoteNode {
-	var best *RemoteNode
-	for _, node := range n.table.nodes {
-		if !node.Live(now) || node.Freshness.AsOf <= n.stateCache.document.AsOf {
-			continue
-		}
-		if best == nil || node.Freshness.AsOf > best.Freshness.AsOf {
-			best = node
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	copied := *best
-	return []*RemoteNode{&copied}
-}
-
-// fetchFromPeer requests the document from the peers in turn until one returns it.
-func (n *Node) fetchFromPeer(peers []*RemoteNode, result *fetchResult) {
-	for _, peer := range peers {
-		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-		address := n.config.Settings.MeshAddress(peer.Peer.VM)
-		reply, err := rpc.Call[stateRequest, stateReply](ctx, n.client, address, rpc.MethodOperatorState, stateRequest{})
-		cancel()
-		if err != nil {
-			result.peerErr = err
-			continue
-		}
-		result.document, result.requestedAt, result.from = reply.Document, peer.VerifiedAt, peer.Peer.VM
-		return
-	}
-}
-
-// stateRequest requests the operators' state of another node.
-type stateRequest struct{}
-
-// stateReply is the reply to a stateRequest.
-type stateReply struct {
-	Document routing.Document
-}
-
-func (n *Node) serveState(context.Context, rpc.Peer, stateRequest) (stateReply, error) {
-	document := n.servedDocument.Load()
-	if document == nil {
-		return stateReply{}, Error.New("no operators' state is known")
-	}
-	return stateReply{Document: *document}, nil
-}
-
 // done applies a result on the control goroutine. A document without entries is
 // adopted only if it comes from the store: when neither the store nor a peer has
 // returned a document, that of the result is empty.
 func (r *refresh) done(n *Node, now model.Instant, result fetchResult) {
 	r.running = false
+	if result.peerErr != nil {
+		n.metrics.peerFailed.Inc()
+		n.log.WithError(result.peerErr).Debug("state_peer_failed")
+	}
 	r.recordStoreResult(n, now, result)
 	switch {
 	case result.unchanged:
@@ -230,7 +205,7 @@
 	if !n.behind() {
 		return
 	}
-	if result.err == nil {
+	if result.err == nil && !result.from.IsValid() {
 		// The store has returned its current state. If another node does have a
 		// newer one, its next message sets newestSeen again.
 		n.newestSeen.Store(uint64(n.stateCache.document.AsOf))
@@ -240,6 +215,9 @@
 // recordStoreResult schedules the next call, and logs when the store is lost or
 // regained.
 func (r *refresh) recordStoreResult(n *Node, now model.Instant, result fetchResult) {
+	if !result.storeAsked {
+		return
+	}
 	if result.err == nil {
 		r.schedule.succeeded(now)
 		if r.storeDown {
@@ -272,7 +250,7 @@
 		return
 	}
 	document := n.stateCache.document
-	n.servedDocument.Store(&document)
+	n.served.Store(&servedDocument{document: document})
 	fields := logrus.Fields{"as_of": document.AsOf, "out": zonesOut(state), "malformed": malformed, "from": "store"}
 	if result.from.IsValid() {
 		fields["from"] = result.from
