--- a/internal/httponce/client.go
+++ b/internal/httponce/client.go
@@ -62,18 +62,28 @@
 // body that it can read again. Therefore a request whose method is not safe gets a new
 // connection, and no request has a body that can be read again.
 type Client struct {
-	// pooled reuses its connections; singleUse opens one for each request.
+	// pooled reuses its connections; nil means that none is reused. singleUse opens one
+	// for each request.
 	pooled    *http.Transport
 	singleUse *http.Transport
 }
 
-// New returns a client that opens its connections with dial.
+// New returns a client that opens a connection with dial for each request. A server that
+// sends a second copy of a response can then not answer another request with it.
 func New(dial Dial) *Client {
-	c := &Client{pooled: newTransport(dial), singleUse: newTransport(dial)}
+	c := &Client{singleUse: newTransport(dial)}
 	c.singleUse.DisableKeepAlives = true
 	return c
 }
 
+// NewPooled returns a client that reuses connections for requests whose method is safe.
+// It is for servers that are known to send each response once, such as other nodes.
+func NewPooled(dial Dial) *Client {
+	c := New(dial)
+	c.pooled = newTransport(dial)
+	return c
+}
+
 func newTransport(dial Dial) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -93,7 +103,9 @@
 
 // Close closes the idle connections. Requests that are still running are not affected.
 func (c *Client) Close() {
-	c.pooled.CloseIdleConnections()
+	if c.pooled != nil {
+		c.pooled.CloseIdleConnections()
+	}
 	c.singleUse.CloseIdleConnections()
 }
 
@@ -130,8 +142,12 @@
 	return response, nil
 }
 
-// transport returns the transport for a method: pooled for a safe one (RFC 9110, 9.2.1).
+// transport returns the transport for a method: pooled, if there is one, for a safe one
+// (RFC 9110, 9.2.1).
 func (c *Client) transport(method string) *http.Transport {
+	if c.pooled == nil {
+		return c.singleUse
+	}
 	switch method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
 		return c.pooled
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -86,7 +86,7 @@
 		dialer := tls.Dialer{Config: config}
 		return dialer.DialContext(ctx, network, address)
 	}
-	return &Pool{directory: directory, client: httponce.New(dial), states: map[model.NodeID]*agentState{}}
+	return &Pool{directory: directory, client: httponce.NewPooled(dial), states: map[model.NodeID]*agentState{}}
 }
 
 // Run queries loads every pollInterval until the context is done, and then closes
