--- a/internal/packetnode/node.go
+++ b/internal/packetnode/node.go
@@ -118,6 +118,7 @@
 	heartbeatsFrom []netip.Addr
 	joined         []netip.Addr
 	lastTick       model.Instant
+	outage         outage
 	refresh        refresh
 	registration   registration
 	discovery      discovery
@@ -377,6 +378,7 @@
 		return
 	}
 	n.metrics.heartbeatsAccepted.Inc()
+	n.outage.hear(now, event.Node.VerifiedAt, rand.Float64())
 	n.heartbeatsFrom = append(n.heartbeatsFrom, m.heartbeat.Peer.VM)
 	if event.Changed {
 		n.logNode(now, event)
--- a/internal/packetnode/packetnode_test.go
+++ b/internal/packetnode/packetnode_test.go
@@ -204,11 +204,12 @@
 // much sooner than one that only renews its verification.
 func TestNodeWithoutStateRetriesSoon(t *testing.T) {
 	meanDelay := func(urgent bool) time.Duration {
-		var schedule retrySchedule
+		var o outage
 		now := start
 		for range 10 {
-			schedule.failed(now, urgent)
-			now = schedule.next
+			require.True(t, o.allows(now))
+			o.failed(now, urgent, 15, 0.5)
+			now = o.next
 		}
 		return now.Sub(start) / 10
 	}
--- a/internal/packetnode/store.go
+++ b/internal/packetnode/store.go
@@ -36,15 +36,10 @@
 	discoveryInterval = 5 * time.Second
 	discoverySpacing  = 20 * time.Millisecond
 	renewSpacing      = 2 * time.Millisecond
-	// retryInterval is the first delay after a failed store call, and
-	// maxRetryInterval the longest. Calls cost money even while the store is
-	// down.
+	// retryInterval is the first delay after an attempt that was not successful, and
+	// maxRetryInterval the longest.
 	retryInterval    = 250 * time.Millisecond
 	maxRetryInterval = time.Second
-	// urgentInterval is the delay after a failed call of a node that can't
-	// serve until the call succeeds. Callers have latency targets of 200 ms, so
-	// they notice every 100 ms without service.
-	urgentInterval = 100 * time.Millisecond
 	// fetchSpacing times the number of known nodes is the time over which nodes spread
 	// their requests for a newer state, so that those that have it first are not all
 	// asked at once.
@@ -66,13 +61,8 @@
 
 func (s *retrySchedule) due(now model.Instant) bool { return now >= s.next }
 
-// failed schedules the next call after a failure. Urgent calls are repeated at
-// urgentInterval without backoff.
-func (s *retrySchedule) failed(now model.Instant, urgent bool) {
-	if urgent {
-		s.next = now.Add(urgentInterval)
-		return
-	}
+// failed schedules the next call after a failure.
+func (s *retrySchedule) failed(now model.Instant) {
 	s.delay = min(max(retryInterval, 2*s.delay), maxRetryInterval)
 	s.next = now.Add(s.delay)
 }
@@ -110,6 +100,10 @@
 	if r.running || !r.schedule.due(now) {
 		return
 	}
+	peers := n.newestPeers(now)
+	if len(peers) == 0 && !n.outage.allows(now) {
+		return
+	}
 	verify := n.stateCache.state != nil && !n.behind()
 	if n.stateCache.state != nil && n.behind() {
 		if r.notBefore == 0 {
@@ -120,7 +114,10 @@
 		}
 	}
 	r.running, r.notBefore = true, 0
-	document, peers := n.stateCache.document, n.newestPeers(now)
+	if len(peers) == 0 || verify {
+		n.outage.begin()
+	}
+	document := n.stateCache.document
 	go func() {
 		result := n.fetch(document, verify, peers)
 		n.post(func(now model.Instant) { r.done(n, now, result) })
@@ -212,6 +209,13 @@
 	}
 }
 
+// storeCallFailed records a failed call to the store. It is urgent while the node has no
+// operators' state.
+func (n *Node) storeCallFailed(now model.Instant) {
+	n.metrics.storeFailed.Inc()
+	n.outage.failed(now, n.stateCache.state == nil, len(n.table.nodes), rand.Float64())
+}
+
 // recordStoreResult schedules the next call, and logs when the store is lost or
 // regained.
 func (r *refresh) recordStoreResult(n *Node, now model.Instant, result fetchResult) {
@@ -220,14 +224,14 @@
 	}
 	if result.err == nil {
 		r.schedule.succeeded(now)
+		n.outage.answered()
 		if r.storeDown {
 			r.storeDown = false
 			n.log.WithField("state_age_ms", n.stateCache.Age(now).Milliseconds()).Info("store_regained")
 		}
 		return
 	}
-	n.metrics.storeFailed.Inc()
-	r.schedule.failed(now, n.stateCache.state == nil)
+	n.storeCallFailed(now)
 	if !r.storeDown {
 		r.storeDown = true
 		n.log.WithError(result.err).WithField("state_age_ms", n.stateCache.Age(now).Milliseconds()).Warn("store_lost")
@@ -239,7 +243,7 @@
 	state, malformed, err := n.stateReader.Decode(result.document)
 	if err != nil {
 		n.log.WithError(err).WithField("as_of", result.document.AsOf).Error("state_refused")
-		r.schedule.failed(now, false)
+		r.schedule.failed(now)
 		return
 	}
 	if result.from.IsValid() {
@@ -283,10 +287,11 @@
 }
 
 func (r *registration) tick(n *Node, now model.Instant) {
-	if r.running || !r.schedule.due(now) {
+	if r.running || !r.schedule.due(now) || !n.outage.allows(now) {
 		return
 	}
 	r.running = true
+	n.outage.begin()
 	lease, ttl := r.lease, max(leaseTime, leaseRenewals*n.renewalInterval())
 	go func() {
 		newLease, err := n.register(lease, ttl)
@@ -297,11 +302,11 @@
 func (r *registration) done(n *Node, now model.Instant, lease platform.LeaseID, err error) {
 	r.running = false
 	if err != nil {
-		n.metrics.storeFailed.Inc()
 		n.log.WithError(err).Debug("registration_failed")
-		r.schedule.failed(now, r.lease == 0)
+		n.storeCallFailed(now)
 		return
 	}
+	n.outage.answered()
 	if lease != r.lease {
 		n.metrics.registered.Inc()
 		n.log.WithField("lease", lease).Info("registered")
@@ -376,13 +381,14 @@
 	if !d.registrationsRead && d.seedSchedule.due(now) {
 		// Until the registrations are read, each round of hellos counts as a
 		// failure, so that further rounds are less frequent.
-		d.seedSchedule.failed(now, false)
+		d.seedSchedule.failed(now)
 		n.sendSeedHellos(now)
 	}
-	if d.running || !d.schedule.due(now) || n.registration.lease == 0 {
+	if d.running || !d.schedule.due(now) || n.registration.lease == 0 || !n.outage.allows(now) {
 		return
 	}
 	d.running = true
+	n.outage.begin()
 	exact := d.exact || !d.registrationsRead
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
@@ -405,10 +411,10 @@
 func (d *discovery) done(n *Node, now model.Instant, snapshot platform.PrefixState, exact bool, err error) {
 	d.running = false
 	if err != nil {
-		n.metrics.storeFailed.Inc()
-		d.schedule.failed(now, !d.registrationsRead)
+		n.storeCallFailed(now)
 		return
 	}
+	n.outage.answered()
 	d.registrationsRead = d.registrationsRead || exact
 	d.exact = false
 	d.schedule.succeeded(now.Add(max(discoveryInterval, time.Duration(len(n.table.nodes))*discoverySpacing)))
