--- a/internal/failure/packets_test.go
+++ b/internal/failure/packets_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,6 +31,8 @@
 	// flows of a failed VM reset. evacuateLimit is that for an evacuation.
 	applyLimit    = 3 * time.Second
 	evacuateLimit = 5 * time.Second
+	// snapshotTime is how long a flow must have been open to be in its agent's snapshot.
+	snapshotTime = 7 * time.Second
 	// requestTimeout is the deadline of one request.
 	requestTimeout = 4 * time.Second
 )
@@ -230,6 +233,37 @@
 	requireNoInvalidPackets(t, s)
 }
 
+// When everything has lost power nobody remembers the flows. Their clients must be told
+// before they lose a request on them, by the snapshots that agents keep in the store.
+func TestPacketFlowsAreResetAfterALossOfAllPower(t *testing.T) {
+	s := startSite(t, nil)
+	flows := openFlows(t, s, 20)
+	time.Sleep(snapshotTime)
+	for _, f := range flows {
+		require.False(t, f.WasReset())
+	}
+	agents := append(s.Nodes(deskService), s.Nodes(proofService)...)
+	nodes := append(s.Nodes(""), agents...)
+	for _, node := range agents {
+		s.Target(node).Crash()
+	}
+	for _, node := range nodes {
+		require.NoError(t, s.Signal(node, syscall.SIGKILL))
+	}
+	for _, node := range nodes {
+		require.Error(t, s.Wait(node))
+		require.NoError(t, s.StartNode(node))
+	}
+	for _, node := range agents {
+		require.NoError(t, s.StartTarget(node))
+	}
+	require.Eventually(t, func() bool {
+		return !slices.ContainsFunc(flows, func(f *site.Flow) bool { return !f.WasReset() })
+	}, applyLimit, 20*time.Millisecond, "idle flows are reset without a packet of theirs")
+	serveAll(t, openFlowsFrom(t, s, 150, 5))
+	requireNoInvalidPackets(t, s)
+}
+
 // openFlowsFrom opens flows to the first route from a new client of zone a, which gets
 // the given number.
 func openFlowsFrom(t *testing.T, s *site.Site, clientNumber, count int) []*site.Flow {
--- a/internal/packetagent/agent.go
+++ b/internal/packetagent/agent.go
@@ -80,10 +80,11 @@
 	metrics  *metrics
 	running  sync.WaitGroup
 
-	// view is the view that the control goroutine published last. The prober and
-	// lastExpiry belong to that goroutine.
+	// view is the view that the control goroutine published last. The prober, the
+	// snapshots and lastExpiry belong to that goroutine.
 	view       atomic.Pointer[trafficView]
 	prober     targetProber
+	snapshots  flowSnapshots
 	lastExpiry model.Instant
 
 	mu      sync.Mutex
@@ -135,7 +136,7 @@
 	a.outbound = outbound
 	a.node = packetnode.New(packetnode.Config{
 		Settings: a.settings, Role: model.RoleAgent, Service: target.Service, Underlay: a.base.Underlay,
-		Metrics: a.base.Metrics, Log: a.log, Load: a.load, OnUpdate: a.changed,
+		Metrics: a.base.Metrics, Log: a.log, Load: a.load, OnUpdate: a.changed, Saved: a.savedValue(),
 		Handlers: map[packetnode.Kind]packetnode.Handler{
 			packetnode.KindForward:    a.handleForward,
 			packetnode.KindFlowLookup: a.handleFlowLookup,
@@ -240,6 +241,7 @@
 	a.mu.Unlock()
 	a.flushReports()
 	a.resetDepartedFlows()
+	a.resetFormerFlows()
 	a.prober.tick(a, now)
 	if now.Sub(a.lastExpiry) >= expireInterval {
 		a.lastExpiry = now
--- a/internal/packetnode/node.go
+++ b/internal/packetnode/node.go
@@ -62,6 +62,8 @@
 	// Load returns the agent's state and the target's load; nil for balancers. The
 	// node reports that state until SetState sets StateRestarting or StateGone.
 	Load func(now model.Instant) (State, Load)
+	// Saved is the value that the node keeps for its next incarnation; nil if none.
+	Saved *SavedValue
 	// OnUpdate is called on the control goroutine at every tick, and at once
 	// when the state of another node or the operators' state has changed.
 	OnUpdate func(now model.Instant, update Update)
@@ -122,6 +124,7 @@
 	refresh        refresh
 	registration   registration
 	discovery      discovery
+	saved          savedValue
 }
 
 // message is a control datagram that is queued for the control goroutine.
@@ -435,6 +438,7 @@
 	n.refresh.tick(n, now)
 	n.registration.tick(n, now)
 	n.discovery.tick(n, now)
+	n.saved.tick(n, now)
 	n.metrics.nodes.Set(int64(len(n.table.nodes)))
 	n.metrics.stateAge.Set(n.stateCache.Age(now).Milliseconds())
 	n.publish(now)
--- a/internal/targetgate/flows.go
+++ b/internal/targetgate/flows.go
@@ -25,6 +25,8 @@
 	clientAck      uint32
 	lastFromClient model.Instant
 	lastFromTarget model.Instant
+	// openedAt is when the flow was seen first.
+	openedAt model.Instant
 	// inFlight is set while a request is outstanding; requestedAt is when its first
 	// packet arrived. A request begins with data that the client has not sent before,
 	// that is, data beyond nextSequence. requestSeen is set once nextSequence is valid.
@@ -169,7 +171,7 @@
 		if p.Flags.Has(flow.Reset) || len(g.flows) >= g.config.MaxFlows {
 			return TargetPacketResult{}
 		}
-		known = &entry{incarnation: g.target.Incarnation, lastFromClient: now}
+		known = &entry{incarnation: g.target.Incarnation, lastFromClient: now, openedAt: now}
 		g.flows[key] = known
 	}
 	known.lastFromTarget = now
--- a/internal/targetgate/queue.go
+++ b/internal/targetgate/queue.go
@@ -98,7 +98,7 @@
 func (g *Gate) admitFlow(now model.Instant, opening Opening) {
 	g.trimRecentOpens(now)
 	g.recentOpens = append(g.recentOpens, now)
-	admitted := &entry{balancer: opening.Balancer, lastFromClient: now, incarnation: g.target.Incarnation, awaitingRequest: true}
+	admitted := &entry{balancer: opening.Balancer, lastFromClient: now, openedAt: now, incarnation: g.target.Incarnation, awaitingRequest: true}
 	g.flows[opening.Key] = admitted
 	g.awaitingRequest++
 	g.recentlyAdmitted = append(g.recentlyAdmitted, admittedFlow{entry: admitted, admittedAt: now})
