--- a/internal/packetnode/store.go
+++ b/internal/packetnode/store.go
@@ -83,6 +83,9 @@
 // tick starts a verification when the last one is too old, no state is known, or
 // another node has a newer state.
 func (r *refresh) tick(n *Node, now model.Instant) {
+	if !n.behind() {
+		r.notBefore = 0
+	}
 	interval := VerifyInterval(n.self.Role, n.table.Rank(now), n.incarnation)
 	if n.stateCache.state == nil || n.stateCache.Age(now) > interval || n.behind() {
 		r.begin(n, now)
@@ -105,16 +108,11 @@
 		return
 	}
 	verify := n.stateCache.state != nil && !n.behind()
-	if n.stateCache.state != nil && n.behind() {
-		if r.notBefore == 0 {
-			r.notBefore = now.Add(time.Duration(rand.Float64() * float64(len(n.table.nodes)) * float64(fetchSpacing)))
-		}
-		if now < r.notBefore {
-			return
-		}
+	if n.stateCache.state != nil && !verify && !r.spreadElapsed(n, now) {
+		return
 	}
 	r.running, r.notBefore = true, 0
-	if len(peers) == 0 || verify {
+	if verify || len(peers) == 0 {
 		n.outage.begin()
 	}
 	document := n.stateCache.document
@@ -124,6 +122,16 @@
 	}()
 }
 
+// spreadElapsed reports whether this node's share of the time has passed over which nodes
+// spread their requests for a newer state. The time begins with the first call.
+func (r *refresh) spreadElapsed(n *Node, now model.Instant) bool {
+	if r.notBefore == 0 {
+		spread := time.Duration(len(n.table.nodes)) * fetchSpacing
+		r.notBefore = now.Add(time.Duration(rand.Float64() * float64(spread)))
+	}
+	return now >= r.notBefore
+}
+
 // post runs a function on the control goroutine, and drops it when that
 // goroutine has ended. Unlike Do, it waits for space in the queue.
 func (n *Node) post(call func(now model.Instant)) {
--- a/internal/targetgate/pace.go
+++ b/internal/targetgate/pace.go
@@ -38,6 +38,6 @@
 }
 
 // servedWithin returns how many requests the target is expected to serve in a time.
-func (p *pace) servedWithin(d time.Duration, slots int) float64 {
-	return float64(slots) * float64(max(0, d)) / float64(p.estimate())
+func (p *pace) servedWithin(d time.Duration, slots int) int {
+	return int(float64(slots) * float64(max(0, d)) / float64(p.estimate()))
 }
--- a/internal/targetgate/queue.go
+++ b/internal/targetgate/queue.go
@@ -15,9 +15,6 @@
 	// or awaited at which the target gets no further flows: a request then waits for
 	// about one other.
 	inFlightFactor = 2
-	// queueShare is the share of what the target can serve in time that may be queued.
-	// The rest is reserved for requests on open flows.
-	queueShare = 1.0
 	// defaultSlots is assumed for a target that has not reported its number of slots.
 	defaultSlots = 4
 )
@@ -147,13 +144,11 @@
 // the target is cold and its warm-up rate is stated, it admits coldLimit flows in about
 // that time, and from then on as many as it serves.
 func (g *Gate) queueLimit(now model.Instant, service *routing.Service) int {
-	limit, held := 0, time.Duration(0)
-	if cold := g.target.ColdUntil.Sub(now); cold > 0 {
-		if coldLimit, stated := g.coldLimit(service); stated {
-			limit, held = coldLimit, cold
-		}
+	whileCold, cold := 0, time.Duration(0)
+	if limit, stated := g.coldLimit(service); stated && g.Cold(now) {
+		whileCold, cold = limit, g.target.ColdUntil.Sub(now)
 	}
-	return limit + int(queueShare*g.pace.servedWithin(maxQueueTime-held, g.slots()))
+	return whileCold + g.pace.servedWithin(maxQueueTime-cold, g.slots())
 }
 
 // Capacity returns how many more flows the gate would accept now, and how many of
