--- a/internal/flowsteer/place.go
+++ b/internal/flowsteer/place.go
@@ -19,13 +19,15 @@
 	// otherZoneOffset is added to the cost of agents in other zones, in flows per
 	// slot.
 	otherZoneOffset = 0.5
-	// coldPenalty keeps new flows away from cold targets while warm targets have free
-	// slots, in flows per slot.
-	coldPenalty = 8
+	// coldPenalty keeps new flows away from cold targets while warm targets accept them
+	// immediately, in flows per slot. It exceeds the cost of every warm target: a cold
+	// one holds no flows yet, so that all balancers would choose it at the same time, and
+	// most of their flows would wait for its limit.
+	coldPenalty = 10_000
 	// queueingPenalty keeps new flows away from targets that would queue them while
 	// other targets accept them immediately, in flows per slot. It exceeds every other
 	// cost.
-	queueingPenalty = 1000
+	queueingPenalty = 100_000
 	// sampleSize is the number of agents of a service that are compared for one flow in
 	// the balancer's own zone, and again in all other zones together.
 	sampleSize = 2
@@ -132,15 +134,15 @@
 		slots = defaultSlots
 	}
 	cost := float64(agent.Flows+t.placed[agent.VM]+activeFlowWeight*agent.ActiveFlows+1) / float64(slots)
+	if agent.Zone != t.view.Zone {
+		cost = cost*otherZoneFactor + otherZoneOffset
+	}
 	if agent.Cold {
 		cost += coldPenalty
 	}
 	if t.placed[agent.VM] >= agent.ImmediateCapacity {
 		cost += queueingPenalty
 	}
-	if agent.Zone != t.view.Zone {
-		cost = cost*otherZoneFactor + otherZoneOffset
-	}
 	return cost
 }
 
--- a/internal/flowsteer/table_test.go
+++ b/internal/flowsteer/table_test.go
@@ -169,13 +169,13 @@
 	require.Equal(t, vm(2), h.fromClient(opening(2)).Agent)
 }
 
-// A flow that could be served immediately must not be queued at a cold or busy target,
-// even if that target has fewer flows.
+// A flow that could be served immediately must not be queued at a busy target, even if
+// that target has fewer flows.
 func TestNewFlowsAvoidQueues(t *testing.T) {
-	cold, loaded := agent(1, localZone, feed), agent(2, remoteZone, feed)
-	cold.Cold, cold.ImmediateCapacity = true, 2
+	busy, loaded := agent(1, localZone, feed), agent(2, remoteZone, feed)
+	busy.ImmediateCapacity = 2
 	loaded.Flows = 200
-	h := newHarness(cold, loaded)
+	h := newHarness(busy, loaded)
 	require.Equal(t, vm(1), h.fromClient(opening(1)).Agent)
 	require.Equal(t, vm(1), h.fromClient(opening(2)).Agent)
 	require.Equal(t, vm(2), h.fromClient(opening(3)).Agent)
@@ -184,6 +184,22 @@
 	require.Equal(t, vm(1), h.fromClient(opening(4)).Agent, "queueing is the only option left")
 }
 
+// Several balancers place flows at a target that has just started before they hear how
+// many it has taken. Its limit holds most of these flows back, so a cold target must get
+// none while a warm one takes them at once, however many flows that one has.
+func TestNewFlowsAvoidColdTargets(t *testing.T) {
+	cold, loaded := agent(1, localZone, feed), agent(2, remoteZone, feed)
+	cold.Cold, cold.ImmediateCapacity = true, 2
+	loaded.Flows, loaded.ImmediateCapacity = 2000, 8
+	h := newHarness(cold, loaded)
+	for n := range 8 {
+		require.Equal(t, vm(2), h.fromClient(opening(n)).Agent)
+	}
+	require.Equal(t, vm(1), h.fromClient(opening(8)).Agent, "the warm target would queue the flow")
+	require.Equal(t, vm(1), h.fromClient(opening(9)).Agent)
+	require.Equal(t, vm(2), h.fromClient(opening(10)).Agent, "both would queue it")
+}
+
 func TestUnavailableAgentsGetNoNewFlows(t *testing.T) {
 	cases := map[string]func(h *harness){
 		"closed":     func(h *harness) { h.agents[vm(1)].State = flowsteer.AgentClosed; h.receiveHeartbeats() },
