codec: check messages before they are decoded; numbers out of range are malformed

Cause: another writer's entry among the registrations, or a datagram, could end or starve a process. The msgpack decoder recurses once a level without a bound (1 MiB of nested arrays takes 512 MB of stack, 16 MiB ends the process, and no recover catches that) and wraps integers that are out of range (port 65,536 becomes 0). A heartbeat that states an interval of weeks kept a lost node live.

Change: codec.Unmarshal first scans the message against its type, with 32 levels, the declared lengths, the number of fields and the range of every integer; nil in place of a struct is refused (a list of them takes many times its encoding). Malformed registrations are counted and logged when their number changes.

Ruled out: another msgpack library (the wire would stay, but types that encode themselves are handled in another way); a limit on the size alone (a datagram of 60 KB took 8 MB).

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"reflect"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/errs"
@@ -28,7 +29,12 @@
 	return buffer.Bytes(), nil
 }
 
-// Unmarshal decodes a message into the value that message points to.
+// Unmarshal decodes a message into the value that message points to. It returns an error,
+// and decodes nothing, if the message nests too deeply, declares more than it has, has
+// other fields than the type or an integer that is out of its field's range.
 func Unmarshal(body []byte, message any) error {
+	if err := validate(body, reflect.TypeOf(message)); err != nil {
+		return err
+	}
 	return Error.Wrap(msgpack.Unmarshal(body, message))
 }
--- a/internal/failure/packets_test.go
+++ b/internal/failure/packets_test.go
@@ -33,6 +33,9 @@
 	evacuateLimit = 5 * time.Second
 	// snapshotTime is how long a flow must have been open to be in its agent's snapshot.
 	snapshotTime = 7 * time.Second
+	// smallestVMMemory is the memory of the smallest VMs of the users, in bytes. A process
+	// that exceeds it is killed.
+	smallestVMMemory = 103 << 20
 	// requestTimeout is the deadline of one request.
 	requestTimeout = 4 * time.Second
 )
@@ -518,3 +521,48 @@
 		})
 	}
 }
+
+// Another writer may leave odd entries among the registrations, before the first start or
+// later. No process ends, the nodes beside them are found, and the configuration is followed.
+func TestOddEntriesAmongRegistrationsHarmNothing(t *testing.T) {
+	odd := map[string][]byte{
+		"nested":       append([]byte{0x81, 0xa1, 'x'}, bytes.Repeat([]byte{0x91}, 700_000)...),
+		"declares":     {0xdd, 0xff, 0xff, 0xff, 0xff},
+		"role":         {0x94, 0xc4, 4, 10, 0, 0, 1, 0xcd, 1, 2, 0xa1, 'a', 0xa1, 'b'},
+		"not of ours":  []byte(`{"address":"10.0.0.1:65536"}`),
+		"empty":        {},
+		"no address":   {0x94, 0xc4, 4, 0, 0, 0, 0, 1, 0xa1, 'a', 0xa1, 'b'},
+		"saved/nested": bytes.Repeat([]byte{0x91}, 700_000),
+	}
+	s := startSite(t, func(shape *site.Shape) { shape.Balancers = 2 })
+	nodes := slices.Concat(s.Nodes(""), s.Nodes(deskService), s.Nodes(proofService))
+	for key, value := range odd {
+		s.Store.Write("balsamlink/nodes/"+key, value)
+		for _, node := range nodes {
+			s.Store.Write("balsamlink/saved/"+node.VM().String()+"/"+key, value)
+		}
+	}
+	flows := openFlows(t, s, 10)
+	// Reads of the registrations are five seconds apart, and a node reads at its start.
+	for _, node := range nodes {
+		restart(t, s, node, syscall.SIGKILL)
+	}
+	serveAll(t, flows)
+	_, err := s.AddBalancer("a")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.Router.ReadyCount() == 5 }, requestTimeout, 20*time.Millisecond)
+	s.Configure(s.Route(0, wire.Backend{Service: proofService, Weight: 1}))
+	client, err := s.NewClient("a", 300)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		f := client.Open(s.Address(0))
+		return f != nil && f.Request("moved", 10, []string{proofService}, requestTimeout) == site.OutcomeServed
+	}, applyLimit, 50*time.Millisecond, "the configuration is followed")
+	for _, node := range nodes {
+		require.False(t, s.Ended(node), "%s has ended", node.Name)
+		peak, err := s.PeakMemory(node)
+		require.NoError(t, err)
+		require.Less(t, peak, int64(smallestVMMemory), "%s", node.Name)
+	}
+	requireNoInvalidPackets(t, s)
+}
--- a/internal/packetnode/messages.go
+++ b/internal/packetnode/messages.go
@@ -261,8 +261,8 @@
 	if err := heartbeat.Peer.check(); err != nil {
 		return nil, err
 	}
-	if heartbeat.State >= stateCount || heartbeat.Incarnation == 0 {
-		return nil, Error.New("heartbeat of %s with invalid state %d or no incarnation", heartbeat.Peer.VM, heartbeat.State)
+	if heartbeat.State >= stateCount || heartbeat.Incarnation == 0 || heartbeat.interval() > maxHeartbeatInterval {
+		return nil, Error.New("heartbeat of %s with invalid state %d, no incarnation, or an interval of %s", heartbeat.Peer.VM, heartbeat.State, heartbeat.interval())
 	}
 	return heartbeat, nil
 }
@@ -283,7 +283,7 @@
 
 // check validates a peer received from another node or read from the store.
 func (p Peer) check() error {
-	if !p.VM.Is4() || (p.Role != model.RoleBalancer && p.Role != model.RoleAgent) {
+	if !p.VM.Is4() || p.VM.IsUnspecified() || p.VM.IsMulticast() || (p.Role != model.RoleBalancer && p.Role != model.RoleAgent) {
 		return Error.New("malformed peer %s with role %d", p.VM, p.Role)
 	}
 	return nil
--- a/internal/packetnode/nodetable.go
+++ b/internal/packetnode/nodetable.go
@@ -17,6 +17,9 @@
 	// evictGoneAfter is how long a node that has shut down is kept, so that
 	// late messages do not add it again.
 	evictGoneAfter = 10 * time.Second
+	// maxHeartbeatInterval is the longest interval that a heartbeat may state. A silent node
+	// counts as live for some intervals, and is evicted after evictAfter in any case.
+	maxHeartbeatInterval = evictAfter
 	// maxFormerIncarnations is how many former incarnations of a node are
 	// remembered.
 	maxFormerIncarnations = 4
--- a/internal/packetnode/packetnode_test.go
+++ b/internal/packetnode/packetnode_test.go
@@ -281,7 +281,9 @@
 func TestMalformedHeartbeatsAreRefused(t *testing.T) {
 	invalidate := []func(h *Heartbeat){
 		func(h *Heartbeat) { h.Incarnation = 0 }, func(h *Heartbeat) { h.State = stateCount }, func(h *Heartbeat) { h.Peer.Role = 9 },
-		func(h *Heartbeat) { h.Peer.VM = netip.IPv6Loopback() },
+		func(h *Heartbeat) { h.Peer.VM = netip.IPv6Loopback() }, func(h *Heartbeat) { h.Peer.VM = netip.IPv4Unspecified() },
+		// A node that is silent counts as live for some of its intervals.
+		func(h *Heartbeat) { h.IntervalMillis = 61_000 }, func(h *Heartbeat) { h.IntervalMillis = 1<<32 - 1 },
 	}
 	for _, change := range invalidate {
 		h := heartbeat(2, model.RoleAgent, 1, 1)
--- a/internal/packetnode/store.go
+++ b/internal/packetnode/store.go
@@ -383,6 +383,8 @@
 	registrationsRead bool
 	schedule          retrySchedule
 	seedSchedule      retrySchedule
+	// malformed is the number of malformed registrations in the last read.
+	malformed int
 }
 
 func (d *discovery) tick(n *Node, now model.Instant) {
@@ -426,13 +428,9 @@
 	d.registrationsRead = d.registrationsRead || exact
 	d.exact = false
 	d.schedule.succeeded(now.Add(max(discoveryInterval, time.Duration(len(n.table.nodes))*discoverySpacing)))
+	peers := d.decode(n, snapshot.Entries)
 	added := false
-	for _, entry := range snapshot.Entries {
-		var peer Peer
-		if err := codec.Unmarshal(entry.Value, &peer); err != nil || peer.check() != nil {
-			n.metrics.malformed.Inc()
-			continue
-		}
+	for _, peer := range peers {
 		added = n.table.Add(now, peer) || added
 	}
 	if added {
@@ -440,4 +438,34 @@
 	}
 }
 
+// decode returns the registered nodes. Entries that are malformed, perhaps of another
+// writer, are counted, and logged whenever their number has changed.
+func (d *discovery) decode(n *Node, entries []platform.Entry) []Peer {
+	peers := make([]Peer, 0, len(entries))
+	malformed, example := 0, ""
+	var cause error
+	for _, entry := range entries {
+		peer, err := decodeRegistration(entry.Value)
+		if err != nil {
+			malformed, example, cause = malformed+1, entry.Key, err
+			continue
+		}
+		peers = append(peers, peer)
+	}
+	n.metrics.malformed.Add(int64(malformed))
+	if malformed != d.malformed && malformed > 0 {
+		n.log.WithError(cause).WithFields(logrus.Fields{"count": malformed, "key": example}).Warn("registrations_malformed")
+	}
+	d.malformed = malformed
+	return peers
+}
+
+func decodeRegistration(value []byte) (Peer, error) {
+	var peer Peer
+	if err := codec.Unmarshal(value, &peer); err != nil {
+		return Peer{}, Error.New("malformed registration: %v", err)
+	}
+	return peer, peer.check()
+}
+
 func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -370,6 +370,20 @@
 // Ended reports whether a node's process has exited.
 func (s *Site) Ended(node *Node) bool { return len(node.exited) > 0 }
 
+// PeakMemory returns the most memory that a node's present process has had, in bytes.
+func (s *Site) PeakMemory(node *Node) (int64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", node.command.Process.Pid))
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	_, rest, found := strings.Cut(string(text), "VmHWM:")
+	var kilobytes int64
+	if _, err := fmt.Sscan(rest, &kilobytes); !found || err != nil {
+		return 0, Error.New("no peak memory of %s: %v", node.Name, err)
+	}
+	return kilobytes << 10, nil
+}
+
 // Nodes returns the agents of a service, or the balancers for an empty service,
 // ordered by VM address.
 func (s *Site) Nodes(service string) []*Node {
