packetnode: heartbeats spread over their interval; fewer calls to the store and lists of peers

Cause: all recipients' heartbeats were due in one tick, and nodes that start together stay in step. After a change, a document that came from a peer carried the age of the peer's last heartbeat, and the newest version heard of was asked for again although its contents were known. Each hello was answered with a list of all nodes, so that lists grew with the cube of the number of nodes at a start.

Change: a pacer sends each tick's share, the longest unsent first; documents carry the time since their verification; versions are compared by contents. Lists of peers are sent on request, to nodes that are known and know other nodes (a digest says so). Agents first read the registrations relaxed, 0.3 s after their own; renewals and reads of the registrations grow with nodes.

--- a/internal/packetnode/documents.go
+++ b/internal/packetnode/documents.go
@@ -8,10 +8,10 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/balsamlink/balsamlink/internal/codec"
 	"github.com/balsamlink/balsamlink/internal/model"
-	"github.com/balsamlink/balsamlink/internal/platform"
 	"github.com/balsamlink/balsamlink/internal/routing"
 	"github.com/balsamlink/balsamlink/internal/rpc"
 )
@@ -34,6 +34,9 @@
 type stateReply struct {
 	Document   routing.Document
 	Compressed []byte
+	// AgeMillis is the time since the document was last verified to be current, in
+	// milliseconds.
+	AgeMillis uint32
 }
 
 // servedDocument is the document that a node passes on. It is compressed when a node
@@ -93,18 +96,26 @@
 }
 
 func (n *Node) serveState(_ context.Context, _ rpc.Peer, request stateRequest) (stateReply, error) {
+	// The time is read before the document: if a newer one is adopted meanwhile, the age is
+	// too large, never too small.
+	age := model.Now().Sub(model.Instant(n.verifiedAt.Load()))
 	served := n.served.Load()
 	if served == nil {
 		return stateReply{}, Error.New("no operators' state is known")
 	}
-	return served.reply(request)
+	reply, err := served.reply(request)
+	reply.AgeMillis = ageMillis(age)
+	return reply, err
 }
 
 // newestPeers returns copies of live peers that have the newest state that this node has
 // heard of, in random order, those of its own zone first. At most maxPeersAsked are
 // returned, and none when this node's state is as new.
 func (n *Node) newestPeers(now model.Instant) []*RemoteNode {
-	newest := max(n.stateCache.document.AsOf+1, platform.Version(n.newestSeen.Load()))
+	newest := n.stateCache.document.AsOf + 1
+	if seen := n.newestSeen.Load(); seen != nil {
+		newest = max(newest, seen.AsOf)
+	}
 	var peers []*RemoteNode
 	for _, node := range n.table.nodes {
 		if node.Live(now) && node.Freshness.AsOf >= newest {
@@ -130,24 +141,29 @@
 // them has returned it.
 func (n *Node) fetchFromPeer(peers []*RemoteNode, result *fetchResult) bool {
 	for _, peer := range peers {
-		document, err := n.requestDocument(peer)
+		requestedAt := model.Now()
+		document, age, err := n.requestDocument(peer)
 		if err != nil {
 			result.peerErr = err
 			continue
 		}
-		result.document, result.requestedAt, result.from = document, peer.VerifiedAt, peer.Peer.VM
+		// The age was taken after the request was sent, so this moment is not too late.
+		result.document, result.requestedAt, result.from = document, requestedAt.Add(-age), peer.Peer.VM
 		return true
 	}
 	return false
 }
 
-func (n *Node) requestDocument(peer *RemoteNode) (routing.Document, error) {
+// requestDocument requests a peer's document, and returns with it the time since its last
+// verification.
+func (n *Node) requestDocument(peer *RemoteNode) (routing.Document, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
 	address := n.config.Settings.MeshAddress(peer.Peer.VM)
 	reply, err := rpc.Call[stateRequest, stateReply](ctx, n.client, address, rpc.MethodOperatorState, stateRequest{Compressed: true})
 	if err != nil {
-		return routing.Document{}, err
+		return routing.Document{}, 0, err
 	}
-	return documentOf(reply)
+	document, err := documentOf(reply)
+	return document, time.Duration(reply.AgeMillis) * time.Millisecond, err
 }
--- a/internal/packetnode/messages.go
+++ b/internal/packetnode/messages.go
@@ -36,6 +36,9 @@
 	// KindFlowUncertain lists flows for which the agent can't tell whether its
 	// target holds them.
 	KindFlowUncertain Kind = 8
+	// KindPeersRequest requests KindPeers from a node that knows other nodes than the
+	// sender does.
+	KindPeersRequest Kind = 9
 )
 
 // flagSearch marks a copy of a packet that is sent to several agents because
@@ -215,7 +218,7 @@
 	// IntervalMillis is the maximum time until the next heartbeat, in
 	// milliseconds.
 	IntervalMillis uint32
-	// Hello requests a heartbeat and a list of peers in reply.
+	// Hello requests a heartbeat in reply.
 	Hello     bool
 	Freshness Freshness
 	Load      Load
@@ -281,6 +284,19 @@
 	return peers, nil
 }
 
+// encodePeersRequest returns a KindPeersRequest with the digest of the known nodes.
+func encodePeersRequest(digest uint64) []byte {
+	return binary.BigEndian.AppendUint64([]byte{byte(KindPeersRequest)}, digest)
+}
+
+func parsePeersRequest(datagram []byte) (*uint64, error) {
+	if len(datagram) != 1+8 {
+		return nil, Error.New("malformed request for peers of %d bytes", len(datagram))
+	}
+	digest := binary.BigEndian.Uint64(datagram[1:])
+	return &digest, nil
+}
+
 // check validates a peer received from another node or read from the store.
 func (p Peer) check() error {
 	if !p.VM.Is4() || p.VM.IsUnspecified() || p.VM.IsMulticast() || (p.Role != model.RoleBalancer && p.Role != model.RoleAgent) {
--- a/internal/packetnode/node.go
+++ b/internal/packetnode/node.go
@@ -40,6 +40,8 @@
 	pauseLogThreshold = time.Second
 	// peersPerDatagram limits a list of peers to about 1,300 bytes.
 	peersPerDatagram = 24
+	// peersInterval is the minimum time between two lists of peers to one node.
+	peersInterval = 200 * time.Millisecond
 	// socketBuffer is the size of each buffer of a socket, in bytes.
 	socketBuffer = 1 << 20
 )
@@ -100,13 +102,15 @@
 	calls chan func(now model.Instant)
 	// ended is closed when the control goroutine has ended.
 	ended chan struct{}
-	// The following fields are shared with other goroutines. newestSeen is the
-	// newest store version of a state that other nodes have and this one does
-	// not; 0 means none. ownVersion is nil while no state is known.
+	// The following fields are shared with other goroutines. newestSeen is the newest
+	// state that other nodes have and this one does not; nil means none. ownVersion
+	// is nil while no state is known. verifiedAt is when that state was last verified,
+	// as a model.Instant.
 	state      atomic.Uint32
-	newestSeen atomic.Uint64
+	newestSeen atomic.Pointer[StateVersion]
 	ownVersion atomic.Pointer[StateVersion]
 	served     atomic.Pointer[servedDocument]
+	verifiedAt atomic.Int64
 	stop       context.CancelFunc
 	running    sync.WaitGroup
 
@@ -116,6 +120,7 @@
 	sequence   uint64
 	// heartbeatInterval is the current time between two heartbeats to one node.
 	heartbeatInterval time.Duration
+	pacer             heartbeatPacer
 	// heartbeatsFrom and joined are collected for the next Update.
 	heartbeatsFrom []netip.Addr
 	joined         []netip.Addr
@@ -132,6 +137,8 @@
 	from      netip.Addr
 	heartbeat *Heartbeat
 	peers     []Peer
+	// peersRequest is the digest of a KindPeersRequest, nil for other messages.
+	peersRequest *uint64
 }
 
 type nodeMetrics struct {
@@ -279,7 +286,7 @@
 	}
 	for {
 		newest := n.newestSeen.Load()
-		if uint64(observed.AsOf) <= newest || n.newestSeen.CompareAndSwap(newest, uint64(observed.AsOf)) {
+		if newest != nil && observed.AsOf <= newest.AsOf || n.newestSeen.CompareAndSwap(newest, &observed) {
 			return
 		}
 	}
@@ -331,6 +338,8 @@
 		}
 	case KindPeers:
 		m.peers, err = parsePeers(datagram)
+	case KindPeersRequest:
+		m.peersRequest, err = parsePeersRequest(datagram)
 	default:
 		err = Error.New("datagram of unknown kind %d", kind)
 	}
@@ -370,8 +379,12 @@
 	for _, peer := range m.peers {
 		if n.table.Add(now, peer) {
 			n.log.WithFields(logrus.Fields{"peer": peer.VM, "role": peer.Role, "from": m.from}).Info("node_named")
+			n.discovery.quietRounds = 0
 		}
 	}
+	if m.peersRequest != nil {
+		n.answerPeersRequest(now, m.from, *m.peersRequest)
+	}
 	if m.heartbeat == nil {
 		return
 	}
@@ -390,7 +403,7 @@
 		n.joined = append(n.joined, m.heartbeat.Peer.VM)
 	}
 	if m.heartbeat.Hello {
-		n.answerHello(now, m.heartbeat.Peer.VM)
+		n.sendHeartbeat(now, m.heartbeat.Peer.VM, false)
 	}
 	if n.stateCache.Observe(m.heartbeat.Freshness, event.Node.VerifiedAt) {
 		n.ObserveStateVersion(StateVersion{AsOf: m.heartbeat.Freshness.AsOf, Digest: uint32(m.heartbeat.Freshness.Digest)})
@@ -409,29 +422,32 @@
 	}).Info("node_changed")
 }
 
-// answerHello answers a hello with a heartbeat and the list of known nodes.
-func (n *Node) answerHello(now model.Instant, vm netip.Addr) {
-	n.sendHeartbeat(now, vm, false)
-	peers := n.table.Peers()
-	for len(peers) > 0 {
-		count := min(len(peers), peersPerDatagram)
-		datagram, err := encode(KindPeers, peers[:count])
+// answerPeersRequest sends the list of known nodes to a node that knows other ones. Strangers
+// get none, and others not more than one in each peersInterval: a list is much longer than
+// the request.
+func (n *Node) answerPeersRequest(now model.Instant, vm netip.Addr, digest uint64) {
+	node := n.table.Node(vm)
+	if node == nil || !node.Seen() || now.Sub(node.peersSentAt) < peersInterval || digest == n.table.Digest() {
+		return
+	}
+	node.peersSentAt = now
+	for peers := range slices.Chunk(n.table.Peers(), peersPerDatagram) {
+		datagram, err := encode(KindPeers, peers)
 		if err != nil {
 			n.log.WithError(err).Error("peers_not_encoded")
 			return
 		}
 		n.Send(vm, datagram)
-		peers = peers[count:]
 	}
 }
 
 func (n *Node) tick(ctx context.Context, now model.Instant) {
 	if n.lastTick != 0 && now.Sub(n.lastTick) > pauseLogThreshold {
 		n.log.WithField("pause_ms", now.Sub(n.lastTick).Milliseconds()).Warn("process_paused")
+		n.heartbeatAll(now)
 	}
 	n.lastTick = now
-	n.updateHeartbeatInterval(now)
-	n.table.EachDue(now, n.heartbeatInterval, func(node *RemoteNode, hello bool) { n.sendHeartbeat(now, node.Peer.VM, hello) })
+	n.sendDueHeartbeats(now)
 	for _, node := range n.table.Evict(now) {
 		n.log.WithFields(logrus.Fields{"peer": node.Peer.VM, "state": node.State}).Info("node_forgotten")
 	}
@@ -450,19 +466,30 @@
 	if n.stateCache.state != nil {
 		version := n.stateCache.StateVersion()
 		n.ownVersion.Store(&version)
+		n.verifiedAt.Store(int64(n.stateCache.verifiedAt))
 	}
 	n.config.OnUpdate(now, Update{NodeTable: n.table, StateCache: n.stateCache, HeartbeatsFrom: n.heartbeatsFrom, Joined: n.joined, RegistrationsRead: n.discovery.registrationsRead})
 	n.heartbeatsFrom, n.joined = n.heartbeatsFrom[:0], n.joined[:0]
 }
 
-// updateHeartbeatInterval sets the interval of heartbeats according to the number
-// of their recipients.
-func (n *Node) updateHeartbeatInterval(now model.Instant) {
+// sendDueHeartbeats sends the hellos that are due, and this tick's share of the heartbeats.
+// The interval of heartbeats depends on the number of their recipients.
+func (n *Node) sendDueHeartbeats(now model.Instant) {
 	minimum := minHeartbeatInterval
 	if n.self.Role == model.RoleBalancer {
 		minimum = balancerIntervalFactor * minHeartbeatInterval
 	}
-	n.heartbeatInterval = max(minimum, time.Duration(n.table.RecipientCount(now))*heartbeatSpacing)
+	recipients := n.table.RecipientCount(now)
+	n.heartbeatInterval = max(minimum, time.Duration(recipients)*heartbeatSpacing)
+	n.sendHellos(now)
+	// After a burst all recipients have been sent a heartbeat at the same moment. They are
+	// spread again from half an interval on.
+	count := n.pacer.take(now, recipients, n.heartbeatInterval)
+	n.table.EachLongestUnsent(now, n.heartbeatInterval/2, count, func(node *RemoteNode) { n.sendHeartbeat(now, node.Peer.VM, false) })
+}
+
+func (n *Node) sendHellos(now model.Instant) {
+	n.table.EachHelloDue(now, func(node *RemoteNode) { n.sendHeartbeat(now, node.Peer.VM, true) })
 }
 
 // spreadFreshness reports a verification by a balancer to the other balancers at
@@ -480,9 +507,10 @@
 }
 
 // heartbeatAll sends a heartbeat to every live node without waiting for its
-// interval.
+// interval, and the hellos that are due.
 func (n *Node) heartbeatAll(now model.Instant) {
-	n.table.EachDue(now, 0, func(node *RemoteNode, hello bool) { n.sendHeartbeat(now, node.Peer.VM, hello) })
+	n.table.EachLive(now, func(node *RemoteNode) { n.sendHeartbeat(now, node.Peer.VM, false) })
+	n.sendHellos(now)
 }
 
 func (n *Node) sendHeartbeat(now model.Instant, vm netip.Addr, hello bool) {
--- a/internal/packetnode/nodetable.go
+++ b/internal/packetnode/nodetable.go
@@ -1,10 +1,14 @@
 package packetnode
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/balsamlink/balsamlink/internal/model"
 )
 
@@ -57,6 +61,8 @@
 	// heartbeat of either kind was.
 	helloSentAt model.Instant
 	sentAt      model.Instant
+	// peersSentAt is when it was last sent a list of peers.
+	peersSentAt model.Instant
 }
 
 // Seen reports whether any heartbeat of the node has been received.
@@ -178,30 +184,83 @@
 	return peers
 }
 
-// EachDue calls visit for each node to which a heartbeat is due, and records it as
-// sent. The interval applies to live nodes. The others get hellos at intervals of
-// their own: hello is then set, which requests a reply.
-func (t *NodeTable) EachDue(now model.Instant, interval time.Duration, visit func(node *RemoteNode, hello bool)) {
-	for _, node := range t.nodes {
-		if node.State == StateGone || !shouldExchangeHeartbeats(t.self.Role, node.Peer.Role) {
-			continue
+// Digest identifies the set of nodes that have not shut down, this one among them. Two
+// nodes with the same digest know the same nodes.
+func (t *NodeTable) Digest() uint64 {
+	digest := vmHash(t.self.VM)
+	for vm, node := range t.nodes {
+		if node.State != StateGone {
+			digest ^= vmHash(vm)
 		}
+	}
+	return digest
+}
+
+func vmHash(vm netip.Addr) uint64 {
+	address := vm.As4()
+	return xxhash.Sum64(address[:])
+}
+
+// SomeLive returns at most count live nodes at random.
+func (t *NodeTable) SomeLive(now model.Instant, count int) []*RemoteNode {
+	var live []*RemoteNode
+	// The order of a map is random, but not evenly so.
+	for _, node := range t.nodes {
 		if node.Live(now) {
-			if now.Sub(node.sentAt) >= interval {
-				node.sentAt = now
-				visit(node, false)
-			}
+			live = append(live, node)
+		}
+	}
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(count, len(live))]
+}
+
+// EachHelloDue calls visit for each node to which a hello is due, and records it as sent.
+// Nodes that are not live get hellos, which request a reply, at intervals of their own.
+func (t *NodeTable) EachHelloDue(now model.Instant, visit func(node *RemoteNode)) {
+	for _, node := range t.nodes {
+		if !t.exchangesHeartbeats(node) || node.Live(now) {
 			continue
 		}
-		currentHelloInterval := helloInterval
+		interval := helloInterval
 		if now.Sub(max(node.LastHeartbeat, node.AddedAt)) > slowHelloAfter {
-			currentHelloInterval = slowHelloInterval
+			interval = slowHelloInterval
 		}
-		if now.Sub(node.helloSentAt) >= currentHelloInterval {
+		if now.Sub(node.helloSentAt) >= interval {
 			node.helloSentAt, node.sentAt = now, now
-			visit(node, true)
+			visit(node)
+		}
+	}
+}
+
+// EachLive calls visit for each live node that gets heartbeats, and records one as sent.
+func (t *NodeTable) EachLive(now model.Instant, visit func(node *RemoteNode)) {
+	for _, node := range t.nodes {
+		if t.exchangesHeartbeats(node) && node.Live(now) {
+			node.sentAt = now
+			visit(node)
+		}
+	}
+}
+
+// EachLongestUnsent calls visit for at most count live nodes, those whose last heartbeat was
+// sent the longest time ago, at least minAge. It records one as sent to each of them.
+func (t *NodeTable) EachLongestUnsent(now model.Instant, minAge time.Duration, count int, visit func(node *RemoteNode)) {
+	var due []*RemoteNode
+	for _, node := range t.nodes {
+		if t.exchangesHeartbeats(node) && node.Live(now) && now.Sub(node.sentAt) >= minAge {
+			due = append(due, node)
 		}
 	}
+	slices.SortFunc(due, func(a, b *RemoteNode) int { return cmp.Compare(a.sentAt, b.sentAt) })
+	for _, node := range due[:min(count, len(due))] {
+		node.sentAt = now
+		visit(node)
+	}
+}
+
+// exchangesHeartbeats reports whether this node sends heartbeats to another one.
+func (t *NodeTable) exchangesHeartbeats(node *RemoteNode) bool {
+	return node.State != StateGone && shouldExchangeHeartbeats(t.self.Role, node.Peer.Role)
 }
 
 // RecipientCount returns the number of live nodes that this node sends
--- a/internal/packetnode/outage_test.go
+++ b/internal/packetnode/outage_test.go
@@ -97,7 +97,7 @@
 	add(2, "b", 9)
 	add(3, "a", 9)
 	add(4, "a", 8)
-	n.newestSeen.Store(9)
+	n.newestSeen.Store(&StateVersion{AsOf: 9})
 	peers := n.newestPeers(start)
 	require.Len(t, peers, 2)
 	require.Equal(t, vm(3), peers[0].Peer.VM)
--- a/internal/packetnode/packetnode_test.go
+++ b/internal/packetnode/packetnode_test.go
@@ -72,15 +72,46 @@
 	table.Add(start, peer(3, model.RoleAgent))
 	hellos := 0
 	for now := start; now < start.Add(13*time.Second); now = now.Add(50 * time.Millisecond) {
-		table.EachDue(now, 200*time.Millisecond, func(node *RemoteNode, hello bool) {
+		table.EachHelloDue(now, func(node *RemoteNode) {
 			require.Equal(t, vm(2), node.Peer.VM, "agents exchange no heartbeats")
-			require.True(t, hello)
 			hellos++
 		})
 	}
 	require.InDelta(t, 12+10, hellos, 2)
 }
 
+// Nodes that start at the same moment must not go on sending their heartbeats at the same
+// moments, and each recipient must get its own on time, also after a burst to all of them.
+func TestHeartbeatsAreSpreadOverTheirInterval(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		recipients := rapid.IntRange(1, 300).Draw(t, "recipients")
+		interval := max(minHeartbeatInterval, time.Duration(recipients)*heartbeatSpacing)
+		table := NewNodeTable(peer(1, model.RoleAgent))
+		var pacer heartbeatPacer
+		perTick := float64(recipients) * float64(tickInterval) / float64(interval)
+		last, end := map[netip.Addr]model.Instant{}, start.Add(4*interval+time.Second)
+		burst := start.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "burst at")) * time.Millisecond)
+		for now := start; now < end; now = now.Add(tickInterval) {
+			for n := range recipients {
+				table.Receive(now, heartbeat(2+n, model.RoleBalancer, 1, uint64(now)))
+			}
+			if now.Sub(burst) >= 0 && now.Sub(burst) < tickInterval {
+				table.EachLive(now, func(node *RemoteNode) { last[node.Peer.VM] = now })
+			}
+			sent := 0
+			table.EachLongestUnsent(now, interval/2, pacer.take(now, recipients, interval), func(node *RemoteNode) {
+				sent++
+				last[node.Peer.VM] = now
+			})
+			require.LessOrEqual(t, sent, int(maxPacedTicks*perTick)+1)
+			for vm, at := range last {
+				require.LessOrEqual(t, now.Sub(at), interval*3/2+2*tickInterval, "%s", vm)
+			}
+		}
+		require.Len(t, last, recipients)
+	})
+}
+
 // One balancer verifies the state for all; the next one takes over when that
 // one is gone.
 func TestOneBalancerVerifiesForAll(t *testing.T) {
@@ -329,3 +360,37 @@
 		require.Contains(t, err.Error(), key)
 	}
 }
+
+// A document fetched from another node may be of an earlier version than the newest one that
+// was heard of. If its contents are the same, nothing must be fetched again.
+func TestTheSameContentsAreNotRequestedAgain(t *testing.T) {
+	n := &Node{stateCache: &StateCache{}}
+	n.stateCache.Adopt(routing.Document{AsOf: 5}, routing.State{}, start)
+	version := n.stateCache.StateVersion()
+	n.ownVersion.Store(&version)
+	changed := routing.Document{AsOf: 7, Entries: []platform.Entry{{Key: "x", Version: 7}}}
+	n.ObserveStateVersion(StateVersion{AsOf: 9, Digest: uint32(changed.Digest())})
+	require.True(t, n.behind())
+	n.stateCache.Adopt(changed, routing.State{}, start)
+	require.False(t, n.behind())
+}
+
+// Two nodes that know the same nodes have the same digest, so that neither sends the other a
+// list of them.
+func TestDigestIdentifiesTheKnownNodes(t *testing.T) {
+	first, second := NewNodeTable(peer(1, model.RoleBalancer)), NewNodeTable(peer(2, model.RoleAgent))
+	for n := 3; n < 40; n++ {
+		first.Add(start, peer(n, model.RoleAgent))
+		second.Add(start, peer(42-n, model.RoleAgent))
+	}
+	require.NotEqual(t, first.Digest(), second.Digest(), "they don't know each other")
+	first.Add(start, peer(2, model.RoleAgent))
+	second.Add(start, peer(1, model.RoleBalancer))
+	require.Equal(t, first.Digest(), second.Digest())
+	gone := heartbeat(3, model.RoleAgent, 1, 1)
+	gone.State = StateGone
+	first.Receive(start, gone)
+	require.NotEqual(t, first.Digest(), second.Digest())
+	second.Receive(start, gone)
+	require.Equal(t, first.Digest(), second.Digest())
+}
--- a/internal/packetnode/statecache.go
+++ b/internal/packetnode/statecache.go
@@ -1,6 +1,7 @@
 package packetnode
 
 import (
+	"math"
 	"time"
 
 	"github.com/balsamlink/balsamlink/internal/model"
@@ -56,13 +57,18 @@
 	if c.state == nil {
 		return Freshness{}
 	}
-	freshness := Freshness{AsOf: c.document.AsOf, Digest: c.digest, AgeMillis: uint32(max(0, c.Age(now).Milliseconds()))}
+	freshness := Freshness{AsOf: c.document.AsOf, Digest: c.digest, AgeMillis: ageMillis(c.Age(now))}
 	if c.state.Config != nil {
 		freshness.ConfigVersion = c.state.Config.Version
 	}
 	return freshness
 }
 
+// ageMillis returns an age in the form in which messages carry it.
+func ageMillis(age time.Duration) uint32 {
+	return uint32(min(max(0, age.Milliseconds()), math.MaxUint32))
+}
+
 // Adopt replaces the state by that of a document that was current at some
 // moment after requestedAt. It reports whether the state has changed. It ignores a
 // document that is older than the known one, and one with an older configuration
--- a/internal/packetnode/store.go
+++ b/internal/packetnode/store.go
@@ -27,15 +27,25 @@
 	leaseRenewals = 4
 	// renewInterval is the minimum time between two renewals. A registration
 	// that expired during a store outage must be restored within 2 s of the
-	// store's return.
+	// store's return, or within one interval in larger deployments.
 	renewInterval = 1500 * time.Millisecond
 	// discoveryInterval is the minimum time between two reads of the
 	// registrations. It and renewInterval grow with the number of nodes, so that
 	// the load on the store does not: discoverySpacing limits all nodes together
-	// to 50 reads per second, and renewSpacing to 500 renewals.
+	// to 10 reads per second, and renewSpacing to 50 renewals.
 	discoveryInterval = 5 * time.Second
-	discoverySpacing  = 20 * time.Millisecond
-	renewSpacing      = 2 * time.Millisecond
+	discoverySpacing  = 100 * time.Millisecond
+	renewSpacing      = 20 * time.Millisecond
+	// firstListDelay is how long after its registration an agent first reads those of
+	// others. Balancers read them at once: they must know all agents.
+	firstListDelay = 300 * time.Millisecond
+	// peersExchangeInterval is the time between two requests for peers to another node.
+	peersExchangeInterval = 5 * time.Second
+	// peersAsked is how many nodes, besides the seeds, are asked for peers in each round.
+	peersAsked = 2
+	// maxQuietRounds is how many rounds in a row must name no new node before the rounds
+	// end.
+	maxQuietRounds = 2
 	// retryInterval is the first delay after an attempt that was not successful, and
 	// maxRetryInterval the longest.
 	retryInterval    = 250 * time.Millisecond
@@ -92,9 +102,13 @@
 	}
 }
 
-// behind reports whether another node has a newer state.
+// behind reports whether another node has a newer state with other contents.
 func (n *Node) behind() bool {
-	return platform.Version(n.newestSeen.Load()) > n.stateCache.document.AsOf
+	newest := n.newestSeen.Load()
+	if newest == nil || newest.AsOf <= n.stateCache.document.AsOf {
+		return false
+	}
+	return n.stateCache.state == nil || newest.Digest != n.stateCache.StateVersion().Digest
 }
 
 // begin starts a verification or read, unless one is running or a retry is not due
@@ -213,7 +227,7 @@
 	if result.err == nil && !result.from.IsValid() {
 		// The store has returned its current state. If another node does have a
 		// newer one, its next message sets newestSeen again.
-		n.newestSeen.Store(uint64(n.stateCache.document.AsOf))
+		n.newestSeen.Store(nil)
 	}
 }
 
@@ -321,8 +335,7 @@
 		// The next read of the registrations must be exact: it finds the nodes
 		// that registered before this moment, and nodes that register later
 		// find this one.
-		n.discovery.schedule.succeeded(now)
-		n.discovery.exact = true
+		n.discovery.registered(n, now)
 	}
 	r.lease = lease
 	r.schedule.succeeded(now.Add(n.renewalInterval()))
@@ -372,42 +385,98 @@
 	}
 }
 
-// discovery reads the registrations of other nodes. Until an exact read has
-// succeeded, it also asks the seeds.
+// discovery finds the other nodes: in the store, where they are registered, and by asking
+// nodes for the nodes that they know.
 type discovery struct {
 	running bool
 	// exact is set when the result of the next read must be current. The results
 	// of other reads, which cost less, may be some seconds old.
 	exact bool
-	// registrationsRead is set once an exact read has succeeded.
+	// registrationsRead is set once a read that was to be the first has succeeded.
 	registrationsRead bool
 	schedule          retrySchedule
-	seedSchedule      retrySchedule
+	// rounds schedules the requests for peers. quietRounds is the number of rounds since
+	// the registrations were read or a node was last named that was not known before.
+	rounds      retrySchedule
+	quietRounds int
 	// malformed is the number of malformed registrations in the last read.
 	malformed int
 }
 
-func (d *discovery) tick(n *Node, now model.Instant) {
-	if !d.registrationsRead && d.seedSchedule.due(now) {
-		// Until the registrations are read, each round of hellos counts as a
-		// failure, so that further rounds are less frequent.
-		d.seedSchedule.failed(now)
-		n.sendSeedHellos(now)
+// registered schedules a read of the registrations after the node's own. It finds the nodes
+// that registered before, and those that register later find this one.
+func (d *discovery) registered(n *Node, now model.Instant) {
+	if n.self.Role == model.RoleBalancer {
+		d.exact = true
+		d.schedule.succeeded(now)
+		return
 	}
+	d.schedule.succeeded(now.Add(firstListDelay))
+}
+
+func (d *discovery) tick(n *Node, now model.Instant) {
+	d.tickRounds(n, now)
 	if d.running || !d.schedule.due(now) || n.registration.lease == 0 || !n.outage.allows(now) {
 		return
 	}
 	d.running = true
 	n.outage.begin()
-	exact := d.exact || !d.registrationsRead
+	exact := d.mustBeExact(n, now)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
 		snapshot, err := n.config.Underlay.Store().Snapshot(ctx, registrationPrefix, !exact)
-		n.post(func(now model.Instant) { d.done(n, now, snapshot, exact, err) })
+		n.post(func(now model.Instant) { d.done(n, now, snapshot, err) })
 	}()
 }
 
+// mustBeExact reports whether the next read of the registrations must be current. An agent
+// that has found balancers learns of the others from them.
+func (d *discovery) mustBeExact(n *Node, now model.Instant) bool {
+	if n.self.Role == model.RoleBalancer {
+		return d.exact || !d.registrationsRead
+	}
+	return n.table.RecipientCount(now) == 0
+}
+
+// tickRounds asks the seeds and a few other nodes for peers, until the registrations are
+// read and no more nodes are named. After that it asks one node in each
+// peersExchangeInterval.
+func (d *discovery) tickRounds(n *Node, now model.Instant) {
+	if !d.rounds.due(now) {
+		return
+	}
+	if d.registrationsRead && d.quietRounds >= maxQuietRounds {
+		d.rounds.succeeded(now.Add(peersExchangeInterval))
+		n.requestPeers(now, 1)
+		return
+	}
+	// Each round counts as a failure, so that further rounds are less frequent.
+	d.rounds.failed(now)
+	if d.registrationsRead {
+		d.quietRounds++
+	} else {
+		n.sendSeedHellos(now)
+	}
+	for _, seed := range n.config.Settings.Seeds {
+		n.requestPeersFrom(seed.Addr())
+	}
+	n.requestPeers(now, peersAsked)
+}
+
+// requestPeers asks live nodes, chosen at random, for the nodes that they know.
+func (n *Node) requestPeers(now model.Instant, count int) {
+	for _, node := range n.table.SomeLive(now, count) {
+		n.requestPeersFrom(node.Peer.VM)
+	}
+}
+
+func (n *Node) requestPeersFrom(vm netip.Addr) {
+	if vm != n.self.VM {
+		n.Send(vm, encodePeersRequest(n.table.Digest()))
+	}
+}
+
 // sendSeedHellos sends a hello to each seed.
 func (n *Node) sendSeedHellos(now model.Instant) {
 	for _, seed := range n.config.Settings.Seeds {
@@ -418,15 +487,14 @@
 }
 
 // done adds the registered nodes to the table, and sends hellos to the new ones.
-func (d *discovery) done(n *Node, now model.Instant, snapshot platform.PrefixState, exact bool, err error) {
+func (d *discovery) done(n *Node, now model.Instant, snapshot platform.PrefixState, err error) {
 	d.running = false
 	if err != nil {
 		n.storeCallFailed(now)
 		return
 	}
 	n.outage.answered()
-	d.registrationsRead = d.registrationsRead || exact
-	d.exact = false
+	d.registrationsRead, d.exact = true, false
 	d.schedule.succeeded(now.Add(max(discoveryInterval, time.Duration(len(n.table.nodes))*discoverySpacing)))
 	peers := d.decode(n, snapshot.Entries)
 	added := false
@@ -434,7 +502,7 @@
 		added = n.table.Add(now, peer) || added
 	}
 	if added {
-		n.table.EachDue(now, minHeartbeatInterval, func(node *RemoteNode, hello bool) { n.sendHeartbeat(now, node.Peer.VM, hello) })
+		n.sendHellos(now)
 	}
 }
 
