packetnode: registrations without leases; keepers have the only ones

Change: a node's registration is a key of its VM without a lease. A process that starts again finds it and writes nothing; one that is missing, or says something else, is written. The balancer that verifies for all removes registrations of nodes that were silent for 30 s, or 15 min while most of their zone is. Only keepers hold leases, for the values that they save. Reads of the registrations are current for balancers alone.

Ruled out: registration in groups by a delegate (fewer first registrations, but a delegate that dies takes its group from the list, and agents must wait for it after a loss of power).

--- a/internal/packetnode/keeper.go
+++ b/internal/packetnode/keeper.go
@@ -22,6 +22,10 @@
 	keptPerWrite = platform.MaxReplaced
 	// maxKeptBytes limits the values that a keeper holds, in bytes.
 	maxKeptBytes = 4 << 20
+	// keepLease is how long values outlive their keeper, and keepRenewal the time between
+	// two renewals of its lease.
+	keepLease   = 30 * time.Second
+	keepRenewal = 8 * time.Second
 )
 
 // keeper holds the saved values of other nodes, and writes those that have changed to the
@@ -32,8 +36,10 @@
 	kept     map[keptID]*keptValue
 	// size is the total size of the values, in bytes.
 	size int
-	// lease is the lease that the values in the store are bound to.
-	lease platform.LeaseID
+	// lease is the lease that the values in the store are bound to, 0 until there is one,
+	// and renewal is when it is renewed next.
+	lease   platform.LeaseID
+	renewal model.Instant
 }
 
 // keptID identifies a part of a node's value.
@@ -88,23 +94,27 @@
 	}
 }
 
-// batch returns the writes for the values that are not in the store, at most keptPerWrite.
-// Values bound to another lease are not in the store any more.
-func (k *keeper) batch(lease platform.LeaseID) ([]platform.Write, []*keptValue) {
-	if lease != k.lease {
-		k.lease = lease
-		for _, value := range k.kept {
-			value.dirty = true
-		}
+// setLease replaces the lease. Values bound to another one are not in the store any more.
+func (k *keeper) setLease(lease platform.LeaseID) {
+	if lease == k.lease {
+		return
 	}
+	k.lease = lease
+	for _, value := range k.kept {
+		value.dirty = true
+	}
+}
+
+// batch returns the writes for the values that are not in the store, at most keptPerWrite.
+func (k *keeper) batch() ([]platform.Write, []*keptValue) {
 	var writes []platform.Write
 	var values []*keptValue
 	for id, value := range k.kept {
 		if !value.dirty {
 			continue
 		}
-		key := fmt.Sprintf("%s%s/%x/%x/%d", savedPrefix, id.VM, value.incarnation, lease, id.Number)
-		writes = append(writes, platform.Write{Key: key, Value: value.value, Lease: lease})
+		key := fmt.Sprintf("%s%s/%x/%x/%d", savedPrefix, id.VM, value.incarnation, k.lease, id.Number)
+		writes = append(writes, platform.Write{Key: key, Value: value.value, Lease: k.lease})
 		values = append(values, value)
 		if len(writes) == keptPerWrite {
 			break
@@ -114,12 +124,19 @@
 }
 
 func (k *keeper) tick(n *Node, now model.Instant) {
-	if k.running || len(k.kept) == 0 || !k.schedule.due(now) || n.registration.lease == 0 || !n.outage.allows(now) {
+	if k.running || len(k.kept) == 0 || !n.outage.allows(now) {
+		return
+	}
+	if now >= k.renewal {
+		k.renewLease(n)
+		return
+	}
+	if !k.schedule.due(now) {
 		return
 	}
 	k.schedule.succeeded(now.Add(max(keepInterval, time.Duration(n.table.keeperCount())*keepSpacing)))
 	k.forget(n.table)
-	writes, values := k.batch(n.registration.lease)
+	writes, values := k.batch()
 	if len(writes) == 0 {
 		return
 	}
@@ -136,6 +153,36 @@
 	}()
 }
 
+// renewLease renews the lease, or requests one.
+func (k *keeper) renewLease(n *Node) {
+	k.running = true
+	n.outage.begin()
+	lease := k.lease
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		store := n.config.Underlay.Store()
+		err := platform.ErrLeaseExpired
+		if lease != 0 {
+			err = store.KeepAlive(ctx, lease)
+		}
+		if errors.Is(err, platform.ErrLeaseExpired) {
+			lease, err = store.Grant(ctx, keepLease)
+		}
+		n.post(func(now model.Instant) {
+			k.running = false
+			if err != nil {
+				n.log.WithError(err).Debug("keeper_lease_failed")
+				n.storeCallFailed(now)
+				return
+			}
+			n.outage.answered()
+			k.setLease(lease)
+			k.renewal = now.Add(keepRenewal)
+		})
+	}()
+}
+
 // written evaluates a write. A value that has been replaced since is another keptValue.
 func (k *keeper) written(n *Node, now model.Instant, values []*keptValue, err error) {
 	k.running = false
@@ -148,7 +195,8 @@
 		value.dirty = true
 	}
 	if errors.Is(err, platform.ErrLeaseExpired) {
-		// The store has answered. The registration gets a new lease.
+		n.outage.answered()
+		k.renewal = now
 		return
 	}
 	n.log.WithError(err).Debug("saved_values_failed")
--- a/internal/packetnode/keeper_test.go
+++ b/internal/packetnode/keeper_test.go
@@ -28,7 +28,8 @@
 		incarnations := map[netip.Addr]uint64{}
 		number := uint32(0)
 		write := func(fails, effective bool) int {
-			writes, values := k.batch(lease)
+			k.setLease(lease)
+			writes, values := k.batch()
 			require.LessOrEqual(t, len(writes), platform.MaxReplaced)
 			for _, value := range values {
 				value.dirty = fails
--- a/internal/packetnode/node.go
+++ b/internal/packetnode/node.go
@@ -129,6 +129,7 @@
 	refresh        refresh
 	registration   registration
 	discovery      discovery
+	janitor        janitor
 	saved          savedValue
 	keeper         keeper
 	changeLog      changeLog
@@ -374,7 +375,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			n.registration.revoke(n)
+			n.registration.remove(n)
 			return
 		case m := <-n.inbox:
 			n.handleMessage(model.Now(), m)
@@ -506,8 +507,6 @@
 	recipients := n.table.RecipientCount(now)
 	n.heartbeatInterval = max(minimum, time.Duration(recipients)*heartbeatSpacing)
 	n.sendHellos(now)
-	// After a burst all recipients have been sent a heartbeat at the same moment. They are
-	// spread again from half an interval on.
 	count := n.pacer.take(now, recipients, n.heartbeatInterval)
 	n.table.EachLongestUnsent(now, n.heartbeatInterval/2, count, func(node *RemoteNode) { n.sendHeartbeat(now, node.Peer.VM, false) })
 }
