packetnode: suspicions, so that a lost node is known at once at any size

Cause: heartbeats to one node are 20 ms times the recipients apart.

Change: a balancer whose heartbeat from a node is 0.3 s late probes it; without an answer in 0.15 s it tells the others, who probe the node themselves and take it for lost only if they get no answer either. Heartbeats are paced from the moment of a burst on.

--- a/internal/packetlb/balancer.go
+++ b/internal/packetlb/balancer.go
@@ -286,11 +286,12 @@
 
 // agentOf returns the agent of a node. LastHeartbeat is not before the node's
 // addition to the table, so that an agent whose first heartbeat has not arrived yet
-// is not taken for a lost one.
+// is not taken for a lost one, nor before the time since which it is suspected to be
+// lost.
 func agentOf(node *packetnode.RemoteNode) *flowsteer.Agent {
 	return &flowsteer.Agent{
 		VM: node.Peer.VM, Zone: node.Peer.Zone, Service: node.Peer.Service, State: agentState(node.State),
-		HeartbeatReceived: node.Seen(), LastHeartbeat: max(node.LastHeartbeat, node.AddedAt), HeartbeatInterval: node.Interval, Slots: int(node.Load.Slots), Flows: int(node.Load.Flows),
+		HeartbeatReceived: node.Seen(), LastHeartbeat: node.SilentFrom(), HeartbeatInterval: node.Interval, Slots: int(node.Load.Slots), Flows: int(node.Load.Flows),
 		ActiveFlows: int(node.Load.ActiveFlows), Cold: node.Load.Cold, Capacity: int(node.Load.Capacity), ImmediateCapacity: int(node.Load.ImmediateCapacity),
 	}
 }
--- a/internal/packetnode/messages.go
+++ b/internal/packetnode/messages.go
@@ -44,6 +44,8 @@
 	// KindSavedPartKept acknowledges it.
 	KindSavedPart     Kind = 10
 	KindSavedPartKept Kind = 11
+	// KindSuspicion names a node that has not answered the sender.
+	KindSuspicion Kind = 12
 )
 
 // flagSearch marks a copy of a packet that is sent to several agents because
@@ -291,6 +293,24 @@
 	return peers, nil
 }
 
+// suspicion names a node, and the incarnation of it that has not answered.
+type suspicion struct {
+	VM          netip.Addr
+	Incarnation uint64
+}
+
+func encodeSuspicion(s suspicion) []byte {
+	address := s.VM.As4()
+	return binary.BigEndian.AppendUint64(append([]byte{byte(KindSuspicion)}, address[:]...), s.Incarnation)
+}
+
+func parseSuspicion(datagram []byte) (*suspicion, error) {
+	if len(datagram) != 1+4+8 {
+		return nil, Error.New("malformed suspicion of %d bytes", len(datagram))
+	}
+	return &suspicion{VM: netip.AddrFrom4([4]byte(datagram[1:])), Incarnation: binary.BigEndian.Uint64(datagram[5:])}, nil
+}
+
 // savedPart is a part of a node's saved value. An acknowledgement has no value.
 type savedPart struct {
 	// Incarnation is that of the node, and Series rises with each value that it sends.
--- a/internal/packetnode/node.go
+++ b/internal/packetnode/node.go
@@ -132,6 +132,7 @@
 	janitor        janitor
 	saved          savedValue
 	keeper         keeper
+	suspicions     suspicions
 	changeLog      changeLog
 	callLog        callLog
 }
@@ -146,6 +147,7 @@
 	// saved is a part of a saved value, and savedKept the acknowledgement of one.
 	saved     *savedPart
 	savedKept *savedPart
+	suspicion *suspicion
 }
 
 type nodeMetrics struct {
@@ -153,6 +155,7 @@
 	malformed, overflow, sendFailed                     *observe.Counter
 	verified, read, storeFailed                         *observe.Counter
 	fromPeers, peerFailed, registered, valuesKept       *observe.Counter
+	suspicionsTold, suspicionsHeard                     *observe.Counter
 	routesMalformed                                     *observe.Gauge
 	nodes, stateAge                                     *observe.Gauge
 	version                                             *observe.Gauge
@@ -172,6 +175,8 @@
 		fromPeers:          metricSet.Counter("state_from_peers", "Operators' states read from other nodes."),
 		peerFailed:         metricSet.Counter("state_peer_failed", "Fetches of the operators' state for which a node that has it did not return it."),
 		registered:         metricSet.Counter("store_registrations", "Registrations of the node in the store."),
+		suspicionsTold:     metricSet.Counter("suspicions_told", "Suspicions that a node is lost told to other nodes."),
+		suspicionsHeard:    metricSet.Counter("suspicions_heard", "Suspicions that a node is lost heard from balancers."),
 		valuesKept:         metricSet.Counter("saved_values_kept", "Parts of the saved values of other nodes written to the store."),
 		routesMalformed:    metricSet.Gauge("state_malformed", "Routes and services of the configuration that were left out because they are malformed."),
 		nodes:              metricSet.Gauge("nodes", "Known other nodes."),
@@ -352,6 +357,8 @@
 		m.saved, err = parseSavedPart(datagram)
 	case KindSavedPartKept:
 		m.savedKept, err = parseSavedPart(datagram)
+	case KindSuspicion:
+		m.suspicion, err = parseSuspicion(datagram)
 	default:
 		err = Error.New("datagram of unknown kind %d", kind)
 	}
@@ -403,6 +410,10 @@
 	if m.savedKept != nil && m.savedKept.Incarnation == n.incarnation {
 		n.saved.acknowledge(m.from, *m.savedKept)
 	}
+	if m.suspicion != nil && isBalancer(n.table.Node(m.from)) {
+		n.metrics.suspicionsHeard.Inc()
+		n.suspicions.hear(now, n.table, m.suspicion.VM, m.suspicion.Incarnation, n.suspicionHooks(now))
+	}
 	if m.heartbeat == nil {
 		return
 	}
@@ -432,6 +443,32 @@
 	}
 }
 
+func isBalancer(node *RemoteNode) bool { return node != nil && node.Peer.Role == model.RoleBalancer }
+
+// suspicionHooks returns the hooks of suspicions. Only balancers tell their suspicions: those
+// of agents to the other balancers, those of balancers to all.
+func (n *Node) suspicionHooks(now model.Instant) suspicionHooks {
+	return suspicionHooks{
+		hello: func(node *RemoteNode) { n.sendHeartbeat(now, node.Peer.VM, true) },
+		tell: func(suspect *RemoteNode) {
+			n.log.WithFields(logrus.Fields{
+				"peer": suspect.Peer.VM, "role": suspect.Peer.Role, "zone": suspect.Peer.Zone, "silent_ms": now.Sub(suspect.LastHeartbeat).Milliseconds(),
+			}).Info("node_suspected")
+			n.tellSuspicion(now, suspect)
+		},
+	}
+}
+
+func (n *Node) tellSuspicion(now model.Instant, suspect *RemoteNode) {
+	datagram := encodeSuspicion(suspicion{VM: suspect.Peer.VM, Incarnation: suspect.Incarnation})
+	for vm, node := range n.table.nodes {
+		if vm != suspect.Peer.VM && node.Live(now) && shouldExchangeHeartbeats(node.Peer.Role, suspect.Peer.Role) {
+			n.metrics.suspicionsTold.Inc()
+			n.Send(vm, datagram)
+		}
+	}
+}
+
 // answerPeersRequest sends the list of known nodes to a node that knows other ones. Strangers
 // get none, and others not more than one in each peersInterval: a list is much longer than
 // the request.
@@ -470,6 +507,9 @@
 	}
 	n.lastTick = now
 	n.sendDueHeartbeats(now)
+	if n.self.Role == model.RoleBalancer {
+		n.suspicions.tick(now, n.table, n.suspicionHooks(now))
+	}
 	for _, node := range n.table.Evict(now) {
 		n.log.WithFields(logrus.Fields{"peer": node.Peer.VM, "state": node.State}).Info("node_forgotten")
 	}
@@ -508,7 +548,7 @@
 	n.heartbeatInterval = max(minimum, time.Duration(recipients)*heartbeatSpacing)
 	n.sendHellos(now)
 	count := n.pacer.take(now, recipients, n.heartbeatInterval)
-	n.table.EachLongestUnsent(now, n.heartbeatInterval/2, count, func(node *RemoteNode) { n.sendHeartbeat(now, node.Peer.VM, false) })
+	n.table.EachLongestUnsent(now, count, func(node *RemoteNode) { n.sendHeartbeat(now, node.Peer.VM, false) })
 }
 
 func (n *Node) sendHellos(now model.Instant) {
--- a/internal/packetnode/nodetable.go
+++ b/internal/packetnode/nodetable.go
@@ -46,7 +46,8 @@
 	// added to the table.
 	LastHeartbeat model.Instant
 	AddedAt       model.Instant
-	// Interval is the maximum time between two of its heartbeats.
+	// Interval is the maximum time between two of its heartbeats. While the node is
+	// suspected to be lost, it is that between two answers to hellos.
 	Interval  time.Duration
 	Load      Load
 	Freshness Freshness
@@ -61,6 +62,12 @@
 	// heartbeat of either kind was.
 	helloSentAt model.Instant
 	sentAt      model.Instant
+	// probedAt is when it was last sent a hello because its heartbeat was late, and
+	// suspectedAt since when it is suspected to be lost; 0 means that it is not.
+	// mustRetell is set while that remains to be told to others again.
+	probedAt    model.Instant
+	suspectedAt model.Instant
+	mustRetell  bool
 	// peersSentAt is when it was last sent a list of peers.
 	peersSentAt model.Instant
 }
@@ -71,7 +78,14 @@
 // Live reports whether the node has not shut down and its heartbeats arrive on
 // schedule.
 func (n *RemoteNode) Live(now model.Instant) bool {
-	return n.Seen() && n.State != StateGone && now.Sub(n.LastHeartbeat) <= maxMissedHeartbeats*n.Interval
+	return n.Seen() && n.State != StateGone && now.Sub(n.SilentFrom()) <= maxMissedHeartbeats*n.Interval
+}
+
+// SilentFrom returns the time from which the node's silence counts, together with Interval:
+// its last heartbeat, its addition to the table, or the time since which it is suspected to be
+// lost.
+func (n *RemoteNode) SilentFrom() model.Instant {
+	return max(n.LastHeartbeat, n.AddedAt, n.suspectedAt)
 }
 
 // maxMissedHeartbeats is how many heartbeats a live node may miss.
@@ -139,7 +153,7 @@
 	changed := node.State != heartbeat.State || node.Load.Cold != heartbeat.Load.Cold
 	node.sequence = heartbeat.Sequence
 	node.Peer, node.State, node.LastHeartbeat, node.Interval, node.Load = heartbeat.Peer, heartbeat.State, now, heartbeat.interval(), heartbeat.Load
-	node.Freshness = heartbeat.Freshness
+	node.Freshness, node.suspectedAt = heartbeat.Freshness, 0
 	node.VerifiedAt = now.Add(-time.Duration(heartbeat.Freshness.AgeMillis) * time.Millisecond)
 	return Event{Node: node, Joined: joined, Changed: changed || joined}
 }
@@ -243,11 +257,14 @@
 }
 
 // EachLongestUnsent calls visit for at most count live nodes, those whose last heartbeat was
-// sent the longest time ago, at least minAge. It records one as sent to each of them.
-func (t *NodeTable) EachLongestUnsent(now model.Instant, minAge time.Duration, count int, visit func(node *RemoteNode)) {
+// sent the longest time ago. It records one as sent to each of them.
+func (t *NodeTable) EachLongestUnsent(now model.Instant, count int, visit func(node *RemoteNode)) {
+	if count == 0 {
+		return
+	}
 	var due []*RemoteNode
 	for _, node := range t.nodes {
-		if t.exchangesHeartbeats(node) && node.Live(now) && now.Sub(node.sentAt) >= minAge {
+		if t.exchangesHeartbeats(node) && node.Live(now) && node.sentAt < now {
 			due = append(due, node)
 		}
 	}
--- a/internal/packetnode/packetnode_test.go
+++ b/internal/packetnode/packetnode_test.go
@@ -99,13 +99,13 @@
 				table.EachLive(now, func(node *RemoteNode) { last[node.Peer.VM] = now })
 			}
 			sent := 0
-			table.EachLongestUnsent(now, interval/2, pacer.take(now, recipients, interval), func(node *RemoteNode) {
+			table.EachLongestUnsent(now, pacer.take(now, recipients, interval), func(node *RemoteNode) {
 				sent++
 				last[node.Peer.VM] = now
 			})
 			require.LessOrEqual(t, sent, int(maxPacedTicks*perTick)+1)
 			for vm, at := range last {
-				require.LessOrEqual(t, now.Sub(at), interval*3/2+2*tickInterval, "%s", vm)
+				require.LessOrEqual(t, now.Sub(at), interval+2*tickInterval, "%s", vm)
 			}
 		}
 		require.Len(t, last, recipients)
--- /dev/null
+++ b/internal/packetnode/suspicion.go
@@ -0,0 +1,105 @@
+package packetnode
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/balsamlink/balsamlink/internal/model"
+)
+
+// In large deployments, heartbeats to one node are seconds apart, but a node sends one to some
+// balancer all the time. The balancer whose heartbeat is late first probes the sender with a
+// hello. If the hello is not answered either, it tells the others of its suspicion. They probe
+// the node themselves, so that nodes that only the first one does not reach stay live to them.
+const (
+	// lateBy is how late a heartbeat must be for its sender to be probed.
+	lateBy = 300 * time.Millisecond
+	// probeTimeout is how long a probe may be unanswered before the suspicion is told.
+	probeTimeout = 150 * time.Millisecond
+	// retellAfter is how long after the first time a suspicion is told again, because
+	// single datagrams are lost.
+	retellAfter = 100 * time.Millisecond
+	// suspectInterval is the time between two hellos to a suspected node, and the interval
+	// of its heartbeats until it sends one. The node is not live any more
+	// maxMissedHeartbeats intervals after it was suspected.
+	suspectInterval = 250 * time.Millisecond
+	// heardAgo is how long ago a node must have been heard of for the suspicion of another
+	// one to count.
+	heardAgo = 300 * time.Millisecond
+)
+
+// suspicions finds lost nodes from their late heartbeats and from the suspicions of others.
+// The zero value is ready for use.
+type suspicions struct {
+	lastTick model.Instant
+	// resumed is when this node last came out of a pause of its own. Heartbeats that were
+	// due before may still wait to be read.
+	resumed model.Instant
+}
+
+// suspicionHooks are what suspicions does with other nodes.
+type suspicionHooks struct {
+	// hello sends a hello, and tell the suspicion of a node to those to whom it matters.
+	hello func(node *RemoteNode)
+	tell  func(suspect *RemoteNode)
+}
+
+// tick probes the nodes whose heartbeats are late, and suspects those that do not answer.
+func (s *suspicions) tick(now model.Instant, table *NodeTable, hooks suspicionHooks) {
+	if s.lastTick != 0 && now.Sub(s.lastTick) > lateBy {
+		s.resumed = now
+	}
+	s.lastTick = now
+	for _, node := range table.nodes {
+		if !table.exchangesHeartbeats(node) || !node.Live(now) || node.State == StateRestarting {
+			continue
+		}
+		switch {
+		case node.suspectedAt != 0:
+			s.tickSuspected(now, node, hooks)
+		case now.Sub(max(node.LastHeartbeat, s.resumed)) <= lateBy || now.Sub(node.LastHeartbeat) <= node.Interval+lateBy:
+			// Its heartbeat is not late.
+		case node.probedAt <= node.LastHeartbeat:
+			s.probe(now, node, hooks)
+		case now.Sub(node.probedAt) >= probeTimeout:
+			node.suspect(now)
+			node.mustRetell = true
+			hooks.tell(node)
+		}
+	}
+}
+
+func (s *suspicions) tickSuspected(now model.Instant, node *RemoteNode, hooks suspicionHooks) {
+	if node.mustRetell && now.Sub(node.suspectedAt) >= retellAfter {
+		node.mustRetell = false
+		hooks.tell(node)
+	}
+	if now.Sub(node.helloSentAt) >= suspectInterval {
+		s.probe(now, node, hooks)
+	}
+}
+
+// hear evaluates the suspicion of another node. A node that was heard of just now is live, and
+// otherwise it is probed at once.
+func (s *suspicions) hear(now model.Instant, table *NodeTable, vm netip.Addr, incarnation uint64, hooks suspicionHooks) {
+	node := table.Node(vm)
+	if node == nil || node.Incarnation != incarnation || !table.exchangesHeartbeats(node) || !node.Live(now) {
+		return
+	}
+	if node.suspectedAt != 0 || node.State == StateRestarting || now.Sub(node.LastHeartbeat) < heardAgo {
+		return
+	}
+	node.suspect(now)
+	s.probe(now, node, hooks)
+}
+
+func (s *suspicions) probe(now model.Instant, node *RemoteNode, hooks suspicionHooks) {
+	node.probedAt, node.helloSentAt, node.sentAt = now, now, now
+	hooks.hello(node)
+}
+
+// suspect makes the node's silence count from now, in short intervals. Its next heartbeat ends
+// that.
+func (n *RemoteNode) suspect(now model.Instant) {
+	n.suspectedAt, n.mustRetell, n.Interval = now, false, min(n.Interval, suspectInterval)
+}
