packetnode: an agent's first state may be some seconds old; an agent that has a newer one from a peer tells nobody

And after each change of the configuration every agent sent a heartbeat to every balancer at once.

Agents that get a newer state from a peer leave it to the balancers to tell others.

Ruled out: relaxed reads on balancers: they decide where flows go.

--- a/internal/failure/packets_test.go
+++ b/internal/failure/packets_test.go
@@ -237,21 +237,60 @@
 }
 
 // When everything has lost power nobody remembers the flows. Their clients must be told
-// before they lose a request on them, by the snapshots that agents keep in the store.
+// before they lose a request on them, by the snapshots that agents have saved in the store,
+// also when the balancers that saved them were killed before, or the store turned them away.
 func TestPacketFlowsAreResetAfterALossOfAllPower(t *testing.T) {
-	s := startSite(t, nil)
-	flows := openFlows(t, s, 20)
-	time.Sleep(snapshotTime)
-	for _, f := range flows {
-		require.False(t, f.WasReset())
+	// keepers returns the balancers that save the snapshots: the first one of each zone.
+	keepers := func(s *site.Site) []*site.Node { return []*site.Node{s.Nodes("")[0], s.Nodes("")[2]} }
+	for name, before := range map[string]func(*site.Site){
+		"quiet": func(*site.Site) {},
+		"keepers killed": func(s *site.Site) {
+			for _, keeper := range keepers(s) {
+				require.Error(t, s.End(keeper, syscall.SIGKILL))
+			}
+		},
+		"keepers turned away": func(s *site.Site) {
+			s.Store.SetFault(func(caller net.IP, _ bool) site.Fault {
+				for _, keeper := range keepers(s) {
+					if keeper.VM().AsSlice()[3] == caller.To4()[3] && keeper.VM().AsSlice()[2] == caller.To4()[2] {
+						return site.FaultUnavailable
+					}
+				}
+				return site.FaultNone
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startSite(t, func(shape *site.Shape) { shape.Balancers = 2 })
+			flows := openFlows(t, s, 20)
+			before(s)
+			time.Sleep(snapshotTime)
+			for _, f := range flows {
+				require.False(t, f.WasReset())
+			}
+			losePower(t, s)
+			s.Store.SetFault(nil)
+			require.Eventually(t, func() bool {
+				return !slices.ContainsFunc(flows, func(f *site.Flow) bool { return !f.WasReset() })
+			}, applyLimit, 20*time.Millisecond, "idle flows are reset without a packet of theirs")
+			serveAll(t, openFlowsFrom(t, s, 150, 5))
+			requireNoInvalidPackets(t, s)
+		})
 	}
-	agents := append(s.Nodes(deskService), s.Nodes(proofService)...)
-	nodes := append(s.Nodes(""), agents...)
+}
+
+// losePower ends all targets and processes at the same time, and starts them again.
+func losePower(t *testing.T, s *site.Site) {
+	t.Helper()
+	agents := slices.Concat(s.Nodes(deskService), s.Nodes(proofService))
+	nodes := slices.Concat(s.Nodes(""), agents)
 	for _, node := range agents {
 		s.Target(node).Crash()
 	}
 	for _, node := range nodes {
-		require.NoError(t, s.Signal(node, syscall.SIGKILL))
+		if !s.Ended(node) {
+			require.NoError(t, s.Signal(node, syscall.SIGKILL))
+		}
 	}
 	for _, node := range nodes {
 		require.Error(t, s.Wait(node))
@@ -260,11 +299,33 @@
 	for _, node := range agents {
 		require.NoError(t, s.StartTarget(node))
 	}
-	require.Eventually(t, func() bool {
-		return !slices.ContainsFunc(flows, func(f *site.Flow) bool { return !f.WasReset() })
-	}, applyLimit, 20*time.Millisecond, "idle flows are reset without a packet of theirs")
-	serveAll(t, openFlowsFrom(t, s, 150, 5))
-	requireNoInvalidPackets(t, s)
+}
+
+// Calls to the store cost money. After a loss of all power each node reads what it needs, and
+// writes nothing: its registration is still there.
+func TestPacketNodesDoNotRegisterAgainAfterALossOfAllPower(t *testing.T) {
+	s := startSite(t, nil)
+	nodes := slices.Concat(s.Nodes(""), s.Nodes(deskService), s.Nodes(proofService))
+	require.Eventually(t, func() bool { return len(s.Store.Keys("balsamlink/nodes/")) == len(nodes) }, requestTimeout, 20*time.Millisecond)
+	losePower(t, s)
+	serveAll(t, openFlows(t, s, 10))
+	for _, node := range nodes {
+		require.Zero(t, metric(node, "store_registrations"), "%s", node.Name)
+		require.Positive(t, metric(node, "nodes"), "%s", node.Name)
+	}
+}
+
+// A registration that was removed while its node runs, by a balancer that does not reach the
+// node or by another writer, is written again.
+func TestPacketNodesRegisterAgainWhenTheirRegistrationIsRemoved(t *testing.T) {
+	s := startSite(t, nil)
+	registered := func() bool { return len(s.Store.Keys("balsamlink/nodes/")) == 6 }
+	require.Eventually(t, registered, requestTimeout, 20*time.Millisecond)
+	time.Sleep(10 * time.Second) // until reads of the registrations count that may be old
+	for _, key := range s.Store.Keys("balsamlink/nodes/") {
+		s.Store.Write(key, nil)
+	}
+	require.Eventually(t, registered, 2*requestTimeout, 20*time.Millisecond)
 }
 
 // openFlowsFrom opens flows to the first route from a new client of zone a, which gets
--- a/internal/packetlb/bench_test.go
+++ b/internal/packetlb/bench_test.go
@@ -48,7 +48,7 @@
 
 type unavailableStateReader struct{ underlay.StateReader }
 
-func (unavailableStateReader) Read(context.Context) (routing.Document, error) {
+func (unavailableStateReader) Read(context.Context, bool) (routing.Document, error) {
 	return routing.Document{}, platform.ErrUnavailable
 }
 
--- a/internal/packetnode/packetnode_test.go
+++ b/internal/packetnode/packetnode_test.go
@@ -239,7 +239,7 @@
 		now := start
 		for range 10 {
 			require.True(t, o.allows(now))
-			o.failed(now, urgent, 15, 0.5)
+			o.failed(now, urgent, longestOutageRetry(model.RoleBalancer, 15), 0.5)
 			now = o.next
 		}
 		return now.Sub(start) / 10
@@ -296,6 +296,9 @@
 	f.Add(AppendForwardedPacket(nil, ForwardedPacket{Packet: []byte("x")}))
 	f.Add(AppendKeys(nil, KindFlowHeld, []flow.Key{{}}))
 	f.Add([]byte{byte(KindPeers), 0x91, 0x94})
+	f.Add(encodePeersRequest(peersRequest{Digest: 7}))
+	f.Add(encodeSuspicion(suspicion{VM: vm(3), Incarnation: 9}))
+	f.Add(appendSavedPart(nil, savedPart{Incarnation: 1, Series: 2, Value: []byte("x")}))
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		if len(datagram) == 0 {
 			return
@@ -304,8 +307,7 @@
 		_, _ = ParseForwardedPacket(datagram)
 		_, _ = ParseReturnedPacket(datagram)
 		_, _ = ParseKeys(datagram)
-		_, _ = parseHeartbeat(datagram)
-		_, _ = parsePeers(datagram)
+		_, _ = parseControl(vm(2), datagram)
 	})
 }
 
@@ -375,6 +377,23 @@
 	require.False(t, n.behind())
 }
 
+// An agent's first state may be some seconds old. It is verified by the agent itself unless a
+// balancer tells in time that it is current, and until then nobody takes it for verified.
+func TestFirstStateOfAnAgentIsVerifiedSoon(t *testing.T) {
+	n := &Node{self: peer(1, model.RoleAgent), table: NewNodeTable(peer(1, model.RoleAgent)), stateCache: &StateCache{}}
+	require.True(t, n.refresh.due(n, start))
+	document := routing.Document{AsOf: 5}
+	n.stateCache.Adopt(document, routing.State{}, 0)
+	n.refresh.adoptedAt = start
+	require.GreaterOrEqual(t, n.stateCache.Freshness(start).AgeMillis, uint32(time.Hour.Milliseconds()), "others learn that it is not verified")
+	require.False(t, n.refresh.due(n, start.Add(agentVerifyInterval)))
+	late := start.Add(agentVerifyInterval + time.Second)
+	require.True(t, n.refresh.due(n, late))
+	require.False(t, n.stateCache.Observe(Freshness{AsOf: 6, Digest: document.Digest()}, late.Add(-100*time.Millisecond)))
+	require.False(t, n.refresh.due(n, late), "a balancer has verified it")
+	require.True(t, n.stateCache.Observe(Freshness{AsOf: 9, Digest: document.Digest() + 1}, late))
+}
+
 // Two nodes that know the same nodes have the same digest, so that neither sends the other a
 // list of them.
 func TestDigestIdentifiesTheKnownNodes(t *testing.T) {
--- a/internal/packetnode/store.go
+++ b/internal/packetnode/store.go
@@ -56,22 +56,31 @@
 	running   bool
 	storeDown bool
 	schedule  retrySchedule
+	// adoptedAt is when a state that may be some seconds old was adopted. Until another node
+	// has verified it, it counts as verified then for the schedule, and for nothing else.
+	adoptedAt model.Instant
 	// notBefore is when a newer state that other nodes have may be fetched.
 	notBefore model.Instant
 }
 
-// tick starts a verification when the last one is too old, no state is known, or
-// another node has a newer state.
+// tick starts a verification or a read if one is due.
 func (r *refresh) tick(n *Node, now model.Instant) {
 	if !n.behind() {
 		r.notBefore = 0
 	}
-	interval := VerifyInterval(n.self.Role, n.table.Rank(now), n.incarnation)
-	if n.stateCache.state == nil || n.stateCache.Age(now) > interval || n.behind() {
+	if r.due(n, now) {
 		r.begin(n, now)
 	}
 }
 
+// due reports whether no state is known, the last verification is too old, or another node
+// has a newer state.
+func (r *refresh) due(n *Node, now model.Instant) bool {
+	verifiedAt := max(n.stateCache.verifiedAt, r.adoptedAt)
+	interval := VerifyInterval(n.self.Role, n.table.Rank(now), n.incarnation)
+	return n.stateCache.state == nil || now.Sub(verifiedAt) > interval || n.behind()
+}
+
 // behind reports whether another node has a newer state with other contents.
 func (n *Node) behind() bool {
 	newest := n.newestSeen.Load()
@@ -100,8 +109,11 @@
 		n.outage.begin()
 	}
 	document := n.stateCache.document
+	// An agent's first state may be some seconds old: balancers, which decide where flows go,
+	// tell the agent whether it is current within a second.
+	relaxed := n.stateCache.state == nil && n.self.Role == model.RoleAgent
 	go func() {
-		result := n.fetch(document, verify, peers)
+		result := n.fetch(document, verify, relaxed, peers)
 		n.post(func(now model.Instant) { r.done(n, now, result) })
 	}()
 }
@@ -127,8 +139,10 @@
 
 // fetchResult is the result of a verification or read of the operators' state.
 type fetchResult struct {
-	// The state was current at some moment after requestedAt.
+	// The state was current at some moment after requestedAt, unless relaxed is set: then
+	// it may be some seconds older.
 	requestedAt model.Instant
+	relaxed     bool
 	// unchanged is set when the known document is still current. Otherwise
 	// document is the one that was read.
 	unchanged bool
@@ -144,11 +158,12 @@
 }
 
 // fetch gets the current document. If verify is set, it first asks the store whether the
-// given one is current. If that is not so, it reads the document from the store.
+// given one is current. If that is not so, it reads the document from the store, with
+// relaxed one that may be some seconds old.
 // Otherwise peers have a newer one: the store is read only if they do not return it, so
 // that its calls do not grow with the number of nodes. If the store fails, peers are
 // asked as well.
-func (n *Node) fetch(document routing.Document, verify bool, peers []*RemoteNode) fetchResult {
+func (n *Node) fetch(document routing.Document, verify, relaxed bool, peers []*RemoteNode) fetchResult {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	result := fetchResult{requestedAt: model.Now()}
@@ -164,9 +179,9 @@
 		}
 	}
 	if result.err == nil {
-		result.requestedAt = model.Now()
+		result.requestedAt, result.relaxed = model.Now(), relaxed
 		n.metrics.read.Inc()
-		result.document, result.err = n.stateReader.Read(ctx)
+		result.document, result.err = n.stateReader.Read(ctx, relaxed)
 	}
 	if result.err != nil && verify {
 		n.fetchFromPeer(peers, &result)
@@ -194,7 +209,7 @@
 	if !n.behind() {
 		return
 	}
-	if result.err == nil && !result.from.IsValid() {
+	if result.err == nil && !result.relaxed && !result.from.IsValid() {
 		// The store has returned its current state. If another node does have a
 		// newer one, its next message sets newestSeen again.
 		n.newestSeen.Store(nil)
@@ -205,7 +220,7 @@
 // operators' state.
 func (n *Node) storeCallFailed(now model.Instant) {
 	n.metrics.storeFailed.Inc()
-	n.outage.failed(now, n.stateCache.state == nil, len(n.table.nodes), rand.Float64())
+	n.outage.failed(now, n.stateCache.state == nil, longestOutageRetry(n.self.Role, len(n.table.nodes)), rand.Float64())
 }
 
 // recordStoreResult schedules the next call, and logs when the store is lost or
@@ -242,7 +257,11 @@
 		n.metrics.fromPeers.Inc()
 	}
 	n.metrics.routesMalformed.Set(int64(malformed))
-	if !n.stateCache.Adopt(result.document, state, result.requestedAt) {
+	verifiedAt := result.requestedAt
+	if result.relaxed {
+		verifiedAt, r.adoptedAt = 0, now
+	}
+	if !n.stateCache.Adopt(result.document, state, verifiedAt) {
 		return
 	}
 	document := n.stateCache.document
@@ -257,7 +276,10 @@
 	}
 	n.log.WithFields(fields).Info("state_changed")
 	n.publish(now)
-	n.heartbeatAll(now)
+	if n.self.Role == model.RoleBalancer || !result.from.IsValid() {
+		// Agents that have it from another node need not tell: the balancers do.
+		n.heartbeatAll(now)
+	}
 }
 
 // zonesOut returns the zones that are out of service, for logs.
--- a/internal/underlay/underlay.go
+++ b/internal/underlay/underlay.go
@@ -54,8 +54,9 @@
 // availability zones that are out of service. Its methods return errors of the
 // classes platform.Error and routing.Error.
 type StateReader interface {
-	// Read returns the current document.
-	Read(ctx context.Context) (routing.Document, error)
+	// Read returns the current document, or with relaxed, which costs less, one that may be
+	// some seconds old.
+	Read(ctx context.Context, relaxed bool) (routing.Document, error)
 	// Verify reports whether a document was current at one moment during the
 	// call.
 	Verify(ctx context.Context, document routing.Document) (bool, error)
