--- a/internal/packetnode/discovery.go
+++ b/internal/packetnode/discovery.go
@@ -110,7 +110,7 @@
 
 func (n *Node) requestPeersFrom(vm netip.Addr) {
 	if vm != n.self.VM {
-		n.Send(vm, encodePeersRequest(n.table.Digest()))
+		n.Send(vm, encodePeersRequest(peersRequest{Digest: n.table.Digest()}))
 	}
 }
 
@@ -134,7 +134,7 @@
 	n.registration.observe(n, now, snapshot.Entries, exact)
 	n.janitor.run(n, now, snapshot.Entries)
 	d.registrationsRead = d.registrationsRead || (exact && n.registration.registered())
-	d.read, d.exact = true, false
+	d.read, d.exact = true, d.exact && !exact
 	peers := d.decode(n, snapshot.Entries)
 	added := false
 	for _, peer := range peers {
@@ -148,7 +148,10 @@
 
 // interval returns the time until the next read of the registrations.
 func (d *discovery) interval(n *Node, now model.Instant) time.Duration {
-	if n.table.RecipientCount(now) == 0 {
+	switch {
+	case d.exact:
+		return 0 // a current read was requested while this one ran
+	case n.table.RecipientCount(now) == 0:
 		return aloneInterval
 	}
 	return max(discoveryInterval, time.Duration(len(n.table.nodes))*discoverySpacing)
--- a/internal/packetnode/messages.go
+++ b/internal/packetnode/messages.go
@@ -304,14 +304,14 @@
 	return binary.BigEndian.AppendUint64(append([]byte{byte(KindSuspicion)}, address[:]...), s.Incarnation)
 }
 
-func parseSuspicion(datagram []byte) (*suspicion, error) {
+func parseSuspicion(datagram []byte) (suspicion, error) {
 	if len(datagram) != 1+4+8 {
-		return nil, Error.New("malformed suspicion of %d bytes", len(datagram))
+		return suspicion{}, Error.New("malformed suspicion of %d bytes", len(datagram))
 	}
-	return &suspicion{VM: netip.AddrFrom4([4]byte(datagram[1:])), Incarnation: binary.BigEndian.Uint64(datagram[5:])}, nil
+	return suspicion{VM: netip.AddrFrom4([4]byte(datagram[1:])), Incarnation: binary.BigEndian.Uint64(datagram[5:])}, nil
 }
 
-// savedPart is a part of a node's saved value. An acknowledgement has no value.
+// savedPart is a part of a node's saved value.
 type savedPart struct {
 	// Incarnation is that of the node, and Series rises with each value that it sends.
 	Incarnation uint64
@@ -320,6 +320,9 @@
 	Value       []byte
 }
 
+// savedPartKept acknowledges a part. It has no value.
+type savedPartKept savedPart
+
 // savedPartHeader is the size of an encoded savedPart without its value, in bytes.
 const savedPartHeader = 1 + 8 + 4 + 2
 
@@ -335,11 +338,11 @@
 }
 
 // parseSavedPart decodes a part or an acknowledgement. Its value is a copy.
-func parseSavedPart(datagram []byte) (*savedPart, error) {
+func parseSavedPart(datagram []byte) (savedPart, error) {
 	if len(datagram) < savedPartHeader || len(datagram) > savedPartHeader+MaxSavedPart {
-		return nil, Error.New("malformed part of a saved value of %d bytes", len(datagram))
+		return savedPart{}, Error.New("malformed part of a saved value of %d bytes", len(datagram))
 	}
-	return &savedPart{
+	return savedPart{
 		Incarnation: binary.BigEndian.Uint64(datagram[1:]),
 		Series:      binary.BigEndian.Uint32(datagram[9:]),
 		Number:      binary.BigEndian.Uint16(datagram[13:]),
@@ -347,17 +350,21 @@
 	}, nil
 }
 
-// encodePeersRequest returns a KindPeersRequest with the digest of the known nodes.
-func encodePeersRequest(digest uint64) []byte {
-	return binary.BigEndian.AppendUint64([]byte{byte(KindPeersRequest)}, digest)
+// peersRequest requests the list of known nodes, unless it has the sender's digest.
+type peersRequest struct {
+	// Digest is that of the nodes that the sender knows.
+	Digest uint64
+}
+
+func encodePeersRequest(request peersRequest) []byte {
+	return binary.BigEndian.AppendUint64([]byte{byte(KindPeersRequest)}, request.Digest)
 }
 
-func parsePeersRequest(datagram []byte) (*uint64, error) {
+func parsePeersRequest(datagram []byte) (peersRequest, error) {
 	if len(datagram) != 1+8 {
-		return nil, Error.New("malformed request for peers of %d bytes", len(datagram))
+		return peersRequest{}, Error.New("malformed request for peers of %d bytes", len(datagram))
 	}
-	digest := binary.BigEndian.Uint64(datagram[1:])
-	return &digest, nil
+	return peersRequest{Digest: binary.BigEndian.Uint64(datagram[1:])}, nil
 }
 
 // check validates a peer received from another node or read from the store.
--- a/internal/packetnode/node.go
+++ b/internal/packetnode/node.go
@@ -137,19 +137,6 @@
 	callLog        callLog
 }
 
-// message is a control datagram that is queued for the control goroutine.
-type message struct {
-	from      netip.Addr
-	heartbeat *Heartbeat
-	peers     []Peer
-	// peersRequest is the digest of a KindPeersRequest, nil for other messages.
-	peersRequest *uint64
-	// saved is a part of a saved value, and savedKept the acknowledgement of one.
-	saved     *savedPart
-	savedKept *savedPart
-	suspicion *suspicion
-}
-
 type nodeMetrics struct {
 	heartbeatsSent, heartbeatsAccepted, heartbeatsStale *observe.Counter
 	malformed, overflow, sendFailed                     *observe.Counter
@@ -333,46 +320,6 @@
 	}
 }
 
-// dispatch passes a datagram to its handler, or parses it and queues it for the
-// control goroutine.
-func (n *Node) dispatch(from netip.Addr, datagram []byte) {
-	kind := Kind(datagram[0])
-	if handler := n.config.Handlers[kind]; handler != nil {
-		handler(from, datagram)
-		return
-	}
-	m := message{from: from}
-	var err error
-	switch kind {
-	case KindHeartbeat:
-		m.heartbeat, err = parseHeartbeat(datagram)
-		if err == nil && m.heartbeat.Peer.VM != from {
-			err = Error.New("heartbeat of %s arrived from %s", m.heartbeat.Peer.VM, from)
-		}
-	case KindPeers:
-		m.peers, err = parsePeers(datagram)
-	case KindPeersRequest:
-		m.peersRequest, err = parsePeersRequest(datagram)
-	case KindSavedPart:
-		m.saved, err = parseSavedPart(datagram)
-	case KindSavedPartKept:
-		m.savedKept, err = parseSavedPart(datagram)
-	case KindSuspicion:
-		m.suspicion, err = parseSuspicion(datagram)
-	default:
-		err = Error.New("datagram of unknown kind %d", kind)
-	}
-	if err != nil {
-		n.metrics.malformed.Inc()
-		return
-	}
-	select {
-	case n.inbox <- m:
-	default:
-		n.metrics.overflow.Inc()
-	}
-}
-
 // control is the goroutine that owns the control state.
 func (n *Node) control(ctx context.Context) {
 	defer close(n.ended)
@@ -394,112 +341,6 @@
 	}
 }
 
-func (n *Node) handleMessage(now model.Instant, m message) {
-	for _, peer := range m.peers {
-		if n.table.Add(now, peer) {
-			n.log.WithFields(logrus.Fields{"peer": peer.VM, "role": peer.Role, "from": m.from}).Info("node_named")
-			n.discovery.quietRounds = 0
-		}
-	}
-	if m.peersRequest != nil {
-		n.answerPeersRequest(now, m.from, *m.peersRequest)
-	}
-	if m.saved != nil {
-		n.keepSavedPart(m.from, *m.saved)
-	}
-	if m.savedKept != nil && m.savedKept.Incarnation == n.incarnation {
-		n.saved.acknowledge(m.from, *m.savedKept)
-	}
-	if m.suspicion != nil && isBalancer(n.table.Node(m.from)) {
-		n.metrics.suspicionsHeard.Inc()
-		n.suspicions.hear(now, n.table, m.suspicion.VM, m.suspicion.Incarnation, n.suspicionHooks(now))
-	}
-	if m.heartbeat == nil {
-		return
-	}
-	event := n.table.Receive(now, m.heartbeat)
-	if event.Node == nil {
-		n.metrics.heartbeatsStale.Inc()
-		return
-	}
-	n.metrics.heartbeatsAccepted.Inc()
-	n.outage.hear(now, event.Node.VerifiedAt, rand.Float64())
-	n.heartbeatsFrom = append(n.heartbeatsFrom, m.heartbeat.Peer.VM)
-	if event.Changed {
-		n.changeLog.record(n.log, now, event)
-	}
-	if event.Joined {
-		n.joined = append(n.joined, m.heartbeat.Peer.VM)
-	}
-	if m.heartbeat.Hello {
-		n.sendHeartbeat(now, m.heartbeat.Peer.VM, false)
-	}
-	if n.stateCache.Observe(m.heartbeat.Freshness, event.Node.VerifiedAt) {
-		n.ObserveStateVersion(StateVersion{AsOf: m.heartbeat.Freshness.AsOf, Digest: uint32(m.heartbeat.Freshness.Digest)})
-		n.refresh.begin(n, now)
-	}
-	if event.Changed {
-		n.publish(now)
-	}
-}
-
-func isBalancer(node *RemoteNode) bool { return node != nil && node.Peer.Role == model.RoleBalancer }
-
-// suspicionHooks returns the hooks of suspicions. Only balancers tell their suspicions: those
-// of agents to the other balancers, those of balancers to all.
-func (n *Node) suspicionHooks(now model.Instant) suspicionHooks {
-	return suspicionHooks{
-		hello: func(node *RemoteNode) { n.sendHeartbeat(now, node.Peer.VM, true) },
-		tell: func(suspect *RemoteNode) {
-			n.log.WithFields(logrus.Fields{
-				"peer": suspect.Peer.VM, "role": suspect.Peer.Role, "zone": suspect.Peer.Zone, "silent_ms": now.Sub(suspect.LastHeartbeat).Milliseconds(),
-			}).Info("node_suspected")
-			n.tellSuspicion(now, suspect)
-		},
-	}
-}
-
-func (n *Node) tellSuspicion(now model.Instant, suspect *RemoteNode) {
-	datagram := encodeSuspicion(suspicion{VM: suspect.Peer.VM, Incarnation: suspect.Incarnation})
-	for vm, node := range n.table.nodes {
-		if vm != suspect.Peer.VM && node.Live(now) && shouldExchangeHeartbeats(node.Peer.Role, suspect.Peer.Role) {
-			n.metrics.suspicionsTold.Inc()
-			n.Send(vm, datagram)
-		}
-	}
-}
-
-// answerPeersRequest sends the list of known nodes to a node that knows other ones. Strangers
-// get none, and others not more than one in each peersInterval: a list is much longer than
-// the request.
-func (n *Node) answerPeersRequest(now model.Instant, vm netip.Addr, digest uint64) {
-	node := n.table.Node(vm)
-	if node == nil || !node.Seen() || now.Sub(node.peersSentAt) < peersInterval || digest == n.table.Digest() {
-		return
-	}
-	node.peersSentAt = now
-	for peers := range slices.Chunk(n.table.Peers(), peersPerDatagram) {
-		datagram, err := encode(KindPeers, peers)
-		if err != nil {
-			n.log.WithError(err).Error("peers_not_encoded")
-			return
-		}
-		n.Send(vm, datagram)
-	}
-}
-
-// keepSavedPart takes a part of a node's saved value. It is not acknowledged while the store
-// does not answer this node: another keeper may reach it.
-func (n *Node) keepSavedPart(from netip.Addr, part savedPart) {
-	node := n.table.Node(from)
-	if n.self.Role != model.RoleBalancer || node == nil || node.Incarnation != part.Incarnation {
-		return
-	}
-	if n.keeper.receive(from, part) && n.outage.failures == 0 {
-		n.Send(from, appendSavedPartHeader(nil, KindSavedPartKept, part))
-	}
-}
-
 func (n *Node) tick(ctx context.Context, now model.Instant) {
 	if n.lastTick != 0 && now.Sub(n.lastTick) > pauseLogThreshold {
 		n.log.WithField("pause_ms", now.Sub(n.lastTick).Milliseconds()).Warn("process_paused")
@@ -507,9 +348,7 @@
 	}
 	n.lastTick = now
 	n.sendDueHeartbeats(now)
-	if n.self.Role == model.RoleBalancer {
-		n.suspicions.tick(now, n.table, n.suspicionHooks(now))
-	}
+	n.suspicions.tick(now, n.table, n.suspicionHooks(now))
 	for _, node := range n.table.Evict(now) {
 		n.log.WithFields(logrus.Fields{"peer": node.Peer.VM, "state": node.State}).Info("node_forgotten")
 	}
--- a/internal/packetnode/outage.go
+++ b/internal/packetnode/outage.go
@@ -7,12 +7,17 @@
 )
 
 const (
-	// firstOutageRetry is the delay after the first failed call to the store. It doubles
-	// with each further one, up to maxOutageRetry, or outageRetrySpacing times the number
-	// of known nodes where that is longer. Calls cost money even while the store is away.
-	firstOutageRetry   = 250 * time.Millisecond
-	maxOutageRetry     = time.Second
-	outageRetrySpacing = 15 * time.Millisecond
+	// firstOutageRetry is the minimum delay after the first failed call to the store. It
+	// doubles with each further one, up to maxOutageRetry, or outageRetrySpacing times the
+	// number of known nodes where that is longer, agentOutageRetrySpacing times on agents:
+	// they hear from balancers of changes and of the store's return. Calls cost money even
+	// while the store is away.
+	firstOutageRetry        = 250 * time.Millisecond
+	maxOutageRetry          = time.Second
+	outageRetrySpacing      = 15 * time.Millisecond
+	agentOutageRetrySpacing = 60 * time.Millisecond
+	// firstOutageShare is the share of the longest delay that the first one has at least.
+	firstOutageShare = 0.25
 	// outageJitter is the share by which each delay varies at random.
 	outageJitter = 0.25
 	// urgentOutageRetry is the delay for a node that cannot serve until the store answers,
@@ -52,16 +57,25 @@
 // answered records a call that the store has answered.
 func (o *outage) answered() { *o = outage{} }
 
-// failed records a failed call of a node that knows the given number of other nodes. A
-// call is urgent if the node cannot serve without it. The random number is between 0 and
-// 1.
-func (o *outage) failed(now model.Instant, urgent bool, nodes int, random float64) {
+// longestOutageRetry returns the longest delay of a node that knows a number of others.
+func longestOutageRetry(role model.Role, nodes int) time.Duration {
+	spacing := outageRetrySpacing
+	if role == model.RoleAgent {
+		spacing = agentOutageRetrySpacing
+	}
+	return max(maxOutageRetry, time.Duration(nodes)*spacing)
+}
+
+// failed records a failed call. A call is urgent if the node cannot serve without it. The
+// random number is between 0 and 1.
+func (o *outage) failed(now model.Instant, urgent bool, longest time.Duration, random float64) {
 	if o.failures == 0 {
 		o.started = now
 	}
-	delay := max(maxOutageRetry, time.Duration(nodes)*outageRetrySpacing)
+	delay := longest
 	if doublings := o.failures; doublings < 8 {
-		delay = min(delay, firstOutageRetry<<doublings)
+		first := max(firstOutageRetry, time.Duration(firstOutageShare*float64(longest)))
+		delay = min(longest, first<<doublings)
 	}
 	if urgent && now.Sub(o.started) < urgentPeriod {
 		delay = urgentOutageRetry
--- a/internal/packetnode/suspicion.go
+++ b/internal/packetnode/suspicion.go
@@ -1,7 +1,6 @@
 package packetnode
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/balsamlink/balsamlink/internal/model"
@@ -26,6 +25,10 @@
 	// heardAgo is how long ago a node must have been heard of for the suspicion of another
 	// one to count.
 	heardAgo = 300 * time.Millisecond
+	// maxTold is the maximum number of suspicions that a node tells in tellInterval. One that
+	// is overloaded itself would suspect all others.
+	maxTold      = 16
+	tellInterval = time.Second
 )
 
 // suspicions finds lost nodes from their late heartbeats and from the suspicions of others.
@@ -35,6 +38,9 @@
 	// resumed is when this node last came out of a pause of its own. Heartbeats that were
 	// due before may still wait to be read.
 	resumed model.Instant
+	// told is the number of suspicions told since tellingSince.
+	told         int
+	tellingSince model.Instant
 }
 
 // suspicionHooks are what suspicions does with other nodes.
@@ -44,7 +50,8 @@
 	tell  func(suspect *RemoteNode)
 }
 
-// tick probes the nodes whose heartbeats are late, and suspects those that do not answer.
+// tick probes the suspected nodes. On balancers, it also probes the nodes whose heartbeats are
+// late, and suspects those that do not answer.
 func (s *suspicions) tick(now model.Instant, table *NodeTable, hooks suspicionHooks) {
 	if s.lastTick != 0 && now.Sub(s.lastTick) > lateBy {
 		s.resumed = now
@@ -57,18 +64,32 @@
 		switch {
 		case node.suspectedAt != 0:
 			s.tickSuspected(now, node, hooks)
+		case table.self.Role != model.RoleBalancer:
+			// Agents rely on the balancers' suspicions.
 		case now.Sub(max(node.LastHeartbeat, s.resumed)) <= lateBy || now.Sub(node.LastHeartbeat) <= node.Interval+lateBy:
 			// Its heartbeat is not late.
 		case node.probedAt <= node.LastHeartbeat:
 			s.probe(now, node, hooks)
 		case now.Sub(node.probedAt) >= probeTimeout:
 			node.suspect(now)
-			node.mustRetell = true
-			hooks.tell(node)
+			node.mustRetell = s.tell(now, node, hooks)
 		}
 	}
 }
 
+// tell tells a suspicion unless maxTold have been told, and reports whether it did.
+func (s *suspicions) tell(now model.Instant, node *RemoteNode, hooks suspicionHooks) bool {
+	if now.Sub(s.tellingSince) >= tellInterval {
+		s.told, s.tellingSince = 0, now
+	}
+	if s.told == maxTold {
+		return false
+	}
+	s.told++
+	hooks.tell(node)
+	return true
+}
+
 func (s *suspicions) tickSuspected(now model.Instant, node *RemoteNode, hooks suspicionHooks) {
 	if node.mustRetell && now.Sub(node.suspectedAt) >= retellAfter {
 		node.mustRetell = false
@@ -81,9 +102,9 @@
 
 // hear evaluates the suspicion of another node. A node that was heard of just now is live, and
 // otherwise it is probed at once.
-func (s *suspicions) hear(now model.Instant, table *NodeTable, vm netip.Addr, incarnation uint64, hooks suspicionHooks) {
-	node := table.Node(vm)
-	if node == nil || node.Incarnation != incarnation || !table.exchangesHeartbeats(node) || !node.Live(now) {
+func (s *suspicions) hear(now model.Instant, table *NodeTable, suspected suspicion, hooks suspicionHooks) {
+	node := table.Node(suspected.VM)
+	if node == nil || node.Incarnation != suspected.Incarnation || !table.exchangesHeartbeats(node) || !node.Live(now) {
 		return
 	}
 	if node.suspectedAt != 0 || node.State == StateRestarting || now.Sub(node.LastHeartbeat) < heardAgo {
