packetnode: heartbeats of the largest deployment are accepted, and keep their nodes known

Cause: heartbeats that state more than 60 s were refused since the check of odd messages; at the users' 5,260 nodes balancers state 105 s. Before, such nodes were evicted after 60 s, between two of their heartbeats.

Change: up to 150 s are accepted, and a silent node is kept for two of its intervals.

Ruled out: a shorter interval at that size: 350 heartbeats a second are 35 KB/s (worked out).

--- a/internal/packetnode/nodetable.go
+++ b/internal/packetnode/nodetable.go
@@ -15,15 +15,16 @@
 const (
 	// maxNodes is the maximum number of nodes in the table.
 	maxNodes = 8192
-	// evictAfter is how long a silent node is kept. It exceeds every outage
-	// that the system must bridge.
-	evictAfter = 60 * time.Second
+	// evictAfter is how long a silent node is kept, or evictIntervals of its heartbeat
+	// intervals where that is longer. It exceeds every outage that the system must bridge.
+	evictAfter     = 60 * time.Second
+	evictIntervals = 2
 	// evictGoneAfter is how long a node that has shut down is kept, so that
 	// late messages do not add it again.
 	evictGoneAfter = 10 * time.Second
-	// maxHeartbeatInterval is the longest interval that a heartbeat may state. A silent node
-	// counts as live for some intervals, and is evicted after evictAfter in any case.
-	maxHeartbeatInterval = evictAfter
+	// maxHeartbeatInterval is the longest interval that a heartbeat may state: that of a node
+	// with some 7,000 recipients. A silent node counts as live until it is evicted.
+	maxHeartbeatInterval = 150 * time.Second
 	// maxFormerIncarnations is how many former incarnations of a node are
 	// remembered.
 	maxFormerIncarnations = 4
@@ -172,7 +173,7 @@
 	var evicted []*RemoteNode
 	for vm, node := range t.nodes {
 		silence := now.Sub(max(node.LastHeartbeat, node.AddedAt))
-		if silence > evictAfter || (node.State == StateGone && silence > evictGoneAfter) {
+		if silence > max(evictAfter, evictIntervals*node.Interval) || (node.State == StateGone && silence > evictGoneAfter) {
 			delete(t.nodes, vm)
 			evicted = append(evicted, node)
 		}
