--- a/review/_standin/cold.go
+++ b/review/_standin/cold.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	time.Sleep(150 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
 	if trouble {
 		if err := p.roll(m); err != nil {
 			return nil, err
--- a/review/_standin/platform.go
+++ b/review/_standin/platform.go
@@ -25,7 +25,7 @@
 	idleTimeout  = 15 * time.Second
 	coldOver     = 1.5
 	coldSlack    = 5
-	restartPause = 500 * time.Millisecond // the "short delay" after which a process starts again
+	restartPause = 300 * time.Millisecond // the "short delay" after which a process starts again
 	warmUpRate   = 4.0                    // warmup_per_s; the site's own is 0.0, see review/4/claim.txt
 	probeEvery   = 500 * time.Millisecond
 )
